--- a/bin/lagoonsaddled.cpp
+++ b/bin/lagoonsaddled.cpp
@@ -24,6 +24,8 @@
 #include <lagoonsaddle/operate/token_check.hpp>
 #include <lagoonsaddle/settings/reader.hpp>
 
+#include "entry.hpp"
+
 namespace {
 
 using namespace lagoonsaddle;
@@ -35,12 +37,16 @@
 Usage:
   lagoonsaddled --settings=FILE
   lagoonsaddled --check-settings=FILE
+  lagoonsaddled entry [--settings=FILE] [--check]
   lagoonsaddled (-h | --help)
   lagoonsaddled --version
 
+The command entry runs an entry node of a platform: it serves callers, and what lasts is in the platform's store.
+
 Options:
-  --settings=FILE        Settings file (JSON with comments).
+  --settings=FILE        Settings file (JSON with comments); for entry, LAGOONSADDLE_SETTINGS names it by default.
   --check-settings=FILE  Check a settings file and exit: 0 when it is valid, 2 when it is not.
+  --check                With entry: check the settings and exit, 0 when they are valid, 2 when they are not.
   -h --help              Show this text.
   --version              Show the version.
 )";
@@ -121,11 +127,30 @@
     return status;
 }
 
+int run_entry_command(std::map<std::string, docopt::value>& arguments) {
+    const char* variable = std::getenv("LAGOONSADDLE_SETTINGS");
+    const auto& option = arguments.at("--settings");
+    const std::string file{option ? option.asString() : std::string{variable != nullptr ? variable : ""}};
+    auto values = edge::read_entry_settings(file);
+    if(!values) {
+        std::cerr << "lagoonsaddled: " << values.error().message << '\n';
+        return exit_settings;
+    }
+    if(arguments.at("--check").asBool()) {
+        std::cout << "the settings are valid\n";
+        return EXIT_SUCCESS;
+    }
+    return run_entry(std::move(*values), file);
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
-    const auto arguments =
+    auto arguments =
         docopt::docopt(usage, {argv + 1, argv + argc}, true, std::string{"lagoonsaddled "} + LAGOONSADDLE_VERSION);
+    if(arguments.at("entry").asBool()) {
+        return run_entry_command(arguments);
+    }
     if(const auto& file = arguments.at("--check-settings"); file) {
         const auto report = settings::check(file.asString());
         (report.valid ? std::cout : std::cerr) << report.text << '\n';
--- /dev/null
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -0,0 +1,464 @@
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <lagoonsaddle/edge/entry_node.hpp>
+#include <lagoonsaddle/edge/forwarder.hpp>
+#include <lagoonsaddle/edge/record_watcher.hpp>
+#include <lagoonsaddle/http/json.hpp>
+#include <lagoonsaddle/http/server.hpp>
+#include <lagoonsaddle/wire/codec.hpp>
+#include <lagoonsaddle/wire/peer_server.hpp>
+
+namespace lagoonsaddle::edge {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view leaving_item_kind{"leaving"};
+constexpr std::chrono::minutes leaving_item_lifetime{2};
+/*! @brief Crashes of different upstreams after which a request is refused. */
+constexpr std::size_t crashes_until_quarantine{3u};
+constexpr std::chrono::minutes suspect_duration{2};
+constexpr milliseconds housekeeping_interval{50};
+/*! @brief Time for which a stopping node still takes requests: the balancer needs two questions, a second apart. */
+constexpr milliseconds rotation_time{3'000};
+/*! @brief Time before the end of the stop timeout at which the node exits in any case. */
+constexpr milliseconds exit_margin{400};
+constexpr milliseconds stop_poll{50};
+/*! @brief Pause of a watch after changes, which are priced one by one. */
+constexpr milliseconds upstream_watch_spacing{300};
+constexpr milliseconds short_wait{2'500};
+constexpr milliseconds long_wait{8'000};
+/*! @brief An outage shorter than this lets no entries lapse. */
+constexpr milliseconds lapse_after{1'000};
+
+} // namespace
+
+class entry_node::parts final : public record_observer, public wire::peer_handler {
+public:
+    parts(entry_node_context uses, entry_settings values, std::uint64_t boot);
+
+    [[nodiscard]] core::result<void> start();
+    [[nodiscard]] asio::awaitable<void> stop();
+    [[nodiscard]] std::string dump() const;
+    [[nodiscard]] bool ready() const noexcept;
+    [[nodiscard]] std::string metrics_text();
+
+    void listed(record_kind kind, const record_page& page) override;
+    void changed(record_kind kind, const record_page& page) override;
+    void store_returned(record_kind kind, core::duration outage) override;
+    asio::awaitable<void> handle(
+        std::string peer, wire::frame message, std::shared_ptr<wire::responder> answer) override;
+
+private:
+    /*! @brief Answers the balancer's readiness question. */
+    class readiness_handler final : public http::handler {
+    public:
+        explicit readiness_handler(const parts& node) : owner{node} {}
+
+        asio::awaitable<void> handle(http::request, http::response_writer& writer) override {
+            http::response answer{.status = this->owner.ready() ? 200u : 503u};
+            static_cast<void>(co_await writer.send(std::move(answer)));
+        }
+
+    private:
+        const parts& owner;
+    };
+
+    /*! @brief Serves metrics and the state dump. */
+    class metrics_handler final : public http::handler {
+    public:
+        explicit metrics_handler(parts& node) : owner{node} {}
+
+        asio::awaitable<void> handle(http::request message, http::response_writer& writer) override {
+            http::response answer{.status = 200u};
+            answer.headers.set("content-type", "text/plain");
+            if(message.target == "/metrics") {
+                answer.body = this->owner.metrics_text();
+            } else if(message.target == "/state") {
+                answer.body = this->owner.dump();
+            } else {
+                answer.status = 404u;
+            }
+            static_cast<void>(co_await writer.send(std::move(answer)));
+        }
+
+    private:
+        parts& owner;
+    };
+
+    void take_upstream(const record_change& change);
+    void take_configuration(const record_change& change);
+    void take_lease(const record_change& change);
+    void announce_leaving(const std::string& id);
+    void spawn_watcher(record_kind kind, milliseconds wait, milliseconds spacing);
+    [[nodiscard]] asio::awaitable<void> keep_house();
+
+    entry_node_context context;
+    entry_settings settings;
+    std::uint64_t boot_id;
+
+    operate::metrics_registry metrics;
+    route_table routes{};
+    upstream_table upstreams{};
+    upstream_selector selector;
+    retry_budget budget;
+    std::shared_ptr<gateway::membership_service> membership;
+    gateway::peer_directory peers;
+    gateway::quarantine_service quarantine;
+    std::shared_ptr<placement_service> placement;
+    forwarder requests;
+    readiness_handler readiness;
+    metrics_handler metrics_pages;
+    http::server caller_server;
+    http::server readiness_server;
+    http::server metrics_server;
+    wire::peer_server peer_server;
+    std::vector<std::unique_ptr<record_watcher>> watchers{};
+    bool upstreams_known{false};
+    bool stopping{false};
+};
+
+entry_node::parts::parts(entry_node_context uses, entry_settings values, std::uint64_t boot)
+    : context{uses},
+      settings{std::move(values)},
+      boot_id{boot},
+      metrics{this->context.time},
+      selector{upstream_selector_options{.availability_zone = this->settings.availability_zone}},
+      budget{retry_budget_options{.ratio = this->settings.retry_ratio,
+          .slack = this->settings.retry_slack,
+          .window = this->settings.retry_window}},
+      membership{std::make_shared<gateway::membership_service>(
+          this->context.io, this->context.time, fleet::membership_settings{})},
+      peers{this->context.io, *this->membership,
+          wire::hello{.node = this->settings.name, .availability_zone = this->settings.availability_zone}},
+      quarantine{policy::crash_quarantine_options{.crashes_until_quarantine = crashes_until_quarantine,
+                     .suspect_duration = suspect_duration},
+          *this->membership, this->peers},
+      placement{std::make_shared<placement_service>(
+          placement_context{.io = this->context.io,
+              .time = this->context.time,
+              .log = this->context.log,
+              .store = this->context.store,
+              .control = this->context.control,
+              .routes = this->routes,
+              .upstreams = this->upstreams,
+              .membership = *this->membership,
+              .peers = this->peers},
+          placement_options{.self = this->settings.name,
+              .availability_zone = this->settings.availability_zone,
+              .boot_id = this->boot_id,
+              .fenced = this->settings.upstreams_check_tokens,
+              .lease_time = this->settings.lease_time})},
+      requests{forwarder_context{.time = this->context.time,
+          .log = this->context.log,
+          .format = this->context.format,
+          .client = this->context.client,
+          .routes = this->routes,
+          .upstreams = this->upstreams,
+          .selector = this->selector,
+          .budget = this->budget,
+          .placement = *this->placement,
+          .quarantine = this->quarantine,
+          .membership = *this->membership,
+          .metrics = this->metrics,
+          .node = this->settings.name,
+          .availability_zone = this->settings.availability_zone}},
+      readiness{*this},
+      metrics_pages{*this},
+      caller_server{this->context.io, this->requests, http::server_options{.listen = this->settings.callers}},
+      readiness_server{this->context.io, this->readiness, http::server_options{.listen = this->settings.readiness}},
+      metrics_server{this->context.io, this->metrics_pages,
+          http::server_options{
+              .listen = {.address = this->settings.callers.address, .port = this->settings.metrics_port}}},
+      peer_server{this->context.io, *this, {.address = this->settings.callers.address, .port = this->settings.peer_port},
+          wire::hello{.node = this->settings.name, .availability_zone = this->settings.availability_zone}} {}
+
+core::result<void> entry_node::parts::start() {
+    const core::endpoint peer_address{
+        .address = this->settings.callers.address, .port = this->settings.peer_port};
+    for(auto* server : {&this->caller_server, &this->readiness_server, &this->metrics_server}) {
+        if(auto started = server->start(); !started) {
+            return started;
+        }
+    }
+    if(auto started = this->peer_server.start(); !started) {
+        return started;
+    }
+    const auto bound = this->membership->bind(peer_address);
+    if(!bound) {
+        return tl::make_unexpected(bound.error());
+    }
+    this->membership->on_item([this](const fleet::item& value) {
+        this->quarantine.receive(value);
+        if(value.kind == leaving_item_kind && this->upstreams.mark_leaving(value.key, value.version)) {
+            this->context.log.write(log_line{"upstream_leaving"}.add("upstream", value.key).add("source", "peer"));
+        }
+    });
+    this->membership->on_change([this](const fleet::member_change& change) {
+        const auto& other = change.member;
+        this->context.log.write(log_line{"member"}
+                                    .add("node", other.info.name)
+                                    .add("state", fleet::to_string(other.state)));
+        if(!other.is_live() || change.restarted) {
+            this->peers.drop(other.info.name);
+        }
+    });
+    std::vector<core::endpoint> seeds{};
+    for(const auto& address : this->settings.seeds) {
+        seeds.push_back({.address = address, .port = this->settings.peer_port});
+    }
+    this->membership->start(fleet::member_info{.name = this->settings.name,
+                                .availability_zone = this->settings.availability_zone,
+                                .udp = peer_address,
+                                .tcp = peer_address,
+                                .boot_id = this->boot_id},
+        std::move(seeds));
+    this->spawn_watcher(record_kind::configuration, short_wait, milliseconds{0});
+    this->spawn_watcher(record_kind::upstreams, short_wait, upstream_watch_spacing);
+    this->spawn_watcher(record_kind::versions, short_wait, milliseconds{100});
+    this->spawn_watcher(record_kind::leases, long_wait, milliseconds{0});
+    this->placement->start();
+    asio::co_spawn(this->context.io, [this] { return this->keep_house(); }, asio::detached);
+    return {};
+}
+
+void entry_node::parts::spawn_watcher(record_kind kind, milliseconds wait, milliseconds spacing) {
+    auto& watcher = *this->watchers.emplace_back(std::make_unique<record_watcher>(this->context.store, *this,
+        this->context.time, this->context.log,
+        record_watcher_options{.kind = kind, .wait = wait, .spacing = spacing}));
+    asio::co_spawn(this->context.io, [&watcher] { return watcher.run(); }, asio::detached);
+}
+
+bool entry_node::parts::ready() const noexcept {
+    return !this->stopping && this->routes.version() > 0u && this->upstreams_known;
+}
+
+asio::awaitable<void> entry_node::parts::keep_house() {
+    asio::steady_timer timer{co_await asio::this_coro::executor};
+    while(true) {
+        timer.expires_after(housekeeping_interval);
+        boost::system::error_code ignored{};
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        for(const auto& id : this->upstreams.expire(this->context.time.now())) {
+            this->context.log.write(log_line{"upstream_gone"}.add("upstream", id).add("reason", "missing_after_outage"));
+        }
+        this->context.log.flush();
+    }
+}
+
+void entry_node::parts::announce_leaving(const std::string& id) {
+    const auto* known = this->upstreams.find(id);
+    this->context.log.write(log_line{known != nullptr ? "upstream_leaving" : "upstream_gone"}
+                                .add("upstream", id)
+                                .add("source", "store"));
+    if(known != nullptr) {
+        this->membership->publish(fleet::item{.kind = std::string{leaving_item_kind},
+            .key = id,
+            .version = known->entry.started_ms,
+            .lifetime = leaving_item_lifetime});
+    }
+}
+
+void entry_node::parts::take_upstream(const record_change& change) {
+    const auto now = this->context.time.now();
+    const auto* entry = std::get_if<upstream_entry>(&change.value);
+    const bool known = this->upstreams.find(change.name) != nullptr;
+    if(entry != nullptr && !known) {
+        this->context.log.write(log_line{"upstream_added"}
+                                    .add("upstream", entry->id)
+                                    .add("service", entry->service)
+                                    .add("zone", entry->availability_zone)
+                                    .add("address", core::to_string(entry->address)));
+    }
+    const bool leaves =
+        entry != nullptr ? this->upstreams.update(*entry, now) : this->upstreams.remove(change.name, now);
+    if(leaves) {
+        this->announce_leaving(change.name);
+    }
+}
+
+void entry_node::parts::take_configuration(const record_change& change) {
+    const auto* config = std::get_if<configuration>(&change.value);
+    if(config != nullptr && this->routes.apply(*config)) {
+        this->context.log.write(log_line{"configuration"}
+                                    .add("version", static_cast<std::int64_t>(config->version))
+                                    .add("revision", static_cast<std::int64_t>(change.revision))
+                                    .add("routes", static_cast<std::int64_t>(config->routes.size())));
+    }
+}
+
+void entry_node::parts::take_lease(const record_change& change) {
+    if(const auto* lease = std::get_if<lease_record>(&change.value)) {
+        const stored_lease record{.lease = *lease, .revision = change.revision};
+        this->placement->lease_changed(change.name, &record);
+    } else {
+        this->placement->lease_changed(change.name, nullptr);
+    }
+}
+
+void entry_node::parts::listed(record_kind kind, const record_page& page) {
+    if(kind == record_kind::upstreams) {
+        std::vector<upstream_entry> entries{};
+        for(const auto& change : page.records) {
+            if(const auto* entry = std::get_if<upstream_entry>(&change.value)) {
+                entries.push_back(*entry);
+            }
+        }
+        for(const auto& id : this->upstreams.replace(entries, this->context.time.now())) {
+            this->announce_leaving(id);
+        }
+        this->upstreams_known = true;
+        this->placement->upstreams_changed();
+        return;
+    }
+    this->changed(kind, page);
+}
+
+void entry_node::parts::changed(record_kind kind, const record_page& page) {
+    for(const auto& change : page.records) {
+        switch(kind) {
+        case record_kind::configuration:
+            this->take_configuration(change);
+            break;
+        case record_kind::upstreams:
+            this->take_upstream(change);
+            break;
+        case record_kind::versions:
+            if(const auto* record = std::get_if<version_record>(&change.value)) {
+                this->placement->version_announced(*record);
+            }
+            break;
+        case record_kind::leases:
+            this->take_lease(change);
+            break;
+        }
+    }
+    if(kind == record_kind::upstreams || kind == record_kind::configuration) {
+        this->placement->upstreams_changed();
+    }
+}
+
+void entry_node::parts::store_returned(record_kind kind, core::duration outage) {
+    if(kind == record_kind::upstreams && outage >= lapse_after) {
+        this->upstreams.store_returned(this->context.time.now());
+    }
+}
+
+asio::awaitable<void> entry_node::parts::handle(
+    std::string, wire::frame message, std::shared_ptr<wire::responder> answer) {
+    if(message.type == wire::message_type::quarantine_update) {
+        this->quarantine.receive(message.body);
+    } else if(message.type == wire::message_type::adapter_usage) {
+        if(const auto usage = wire::unpack<wire::adapter_usage>(message.body)) {
+            this->placement->receive_usage(*usage);
+        }
+    } else if(message.type == wire::message_type::adapter_wanted) {
+        auto wanted = wire::unpack<wire::adapter_wanted>(message.body);
+        if(!wanted) {
+            co_return;
+        }
+        const auto version = co_await this->placement->ensure_here(std::move(*wanted));
+        wire::adapter_ready reply{};
+        if(version) {
+            reply.version = *version;
+        } else {
+            reply.failure = wire::to_wire(version.error());
+        }
+        answer->send(wire::message_type::adapter_ready, wire::pack(reply));
+    }
+}
+
+asio::awaitable<void> entry_node::parts::stop() {
+    const auto begin = this->context.time.now();
+    this->stopping = true;
+    this->context.log.write(log_line{"stop"}.add("active", static_cast<std::int64_t>(this->caller_server.active_requests())));
+    this->membership->leave();
+    this->caller_server.begin_drain();
+    asio::co_spawn(
+        this->context.io, [keep = this->placement] { return keep->release(); }, asio::detached);
+    const auto limit = this->settings.stop_timeout - exit_margin;
+    asio::steady_timer timer{co_await asio::this_coro::executor};
+    while(true) {
+        const auto passed = this->context.time.now() - begin;
+        const bool idle = this->caller_server.active_requests() == 0u;
+        if((passed >= rotation_time && idle) || passed >= limit) {
+            break;
+        }
+        timer.expires_after(stop_poll);
+        boost::system::error_code ignored{};
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    this->caller_server.stop_accepting();
+    this->membership->depart();
+    this->context.log.write(
+        log_line{"stopped"}.add("active", static_cast<std::int64_t>(this->caller_server.active_requests())));
+    this->context.log.flush();
+}
+
+std::string entry_node::parts::metrics_text() {
+    const auto gauge = [this](std::string_view name, std::string_view help, double value) {
+        this->metrics.gauge(name, help).set(value);
+    };
+    gauge("lagoonsaddle_edge_configuration_version", "Version of the configuration in force.",
+        static_cast<double>(this->routes.version()));
+    gauge("lagoonsaddle_edge_upstreams", "Known upstreams.", static_cast<double>(this->upstreams.all().size()));
+    gauge("lagoonsaddle_edge_active_requests", "Requests of callers in progress.",
+        static_cast<double>(this->caller_server.active_requests()));
+    gauge("lagoonsaddle_edge_upstream_connections_made", "Connections made to upstreams since the start.",
+        static_cast<double>(this->context.client.connections_made()));
+    gauge("lagoonsaddle_edge_log_lines_dropped", "Log lines dropped since the start.",
+        static_cast<double>(this->context.log.dropped()));
+    return this->metrics.text();
+}
+
+std::string entry_node::parts::dump() const {
+    nlohmann::json upstream_states = nlohmann::json::array();
+    const auto now = this->context.time.now();
+    for(const auto& [id, known] : this->upstreams.all()) {
+        nlohmann::json adapters = nlohmann::json::array();
+        for(const auto& [model, held] : known.entry.models) {
+            for(const auto& [adapter, version] : held.adapters) {
+                adapters.push_back(adapter_key(model, adapter) + '@' + std::to_string(version));
+            }
+        }
+        upstream_states.push_back({{"id", id}, {"service", known.entry.service},
+            {"availability_zone", known.entry.availability_zone}, {"leaving", known.entry.leaving},
+            {"in_flight", known.in_flight}, {"failure_share", known.health.failure_share(now)},
+            {"adapters", std::move(adapters)}});
+    }
+    const nlohmann::json state{{"node", this->settings.name}, {"ready", this->ready()},
+        {"configuration_version", this->routes.version()}, {"upstreams", std::move(upstream_states)},
+        {"active_requests", this->caller_server.active_requests()}};
+    return state.dump();
+}
+
+entry_node::entry_node(entry_node_context context, entry_settings settings, std::uint64_t boot_id)
+    : implementation{std::make_unique<parts>(context, std::move(settings), boot_id)} {}
+
+entry_node::~entry_node() = default;
+
+core::result<void> entry_node::start() {
+    return this->implementation->start();
+}
+
+asio::awaitable<void> entry_node::stop() {
+    return this->implementation->stop();
+}
+
+std::string entry_node::dump() const {
+    return this->implementation->dump();
+}
+
+} // namespace lagoonsaddle::edge
--- /dev/null
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -0,0 +1,554 @@
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <lagoonsaddle/core/hash.hpp>
+#include <lagoonsaddle/edge/event_splitter.hpp>
+#include <lagoonsaddle/edge/forwarder.hpp>
+
+namespace lagoonsaddle::edge {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/*! @brief Sends of one request that may be made after proof that it has not run. */
+constexpr unsigned sends_max{4u};
+/*! @brief Choices of an upstream for one request, counting those whose adapter could not be loaded. */
+constexpr unsigned choices_max{6u};
+/*! @brief Requests with less time left are not sent: the answer could not arrive. */
+constexpr milliseconds send_margin{15};
+/*! @brief Time beyond the deadline in which the upstream's own answer at the deadline may arrive. */
+constexpr milliseconds deadline_margin{60};
+/*! @brief Time that a request waits for the load of its adapter at most; the rest of the deadline is for the run. */
+constexpr milliseconds load_wait_max{1'800};
+/*! @brief Time within which an older version of an adapter may still serve after a newer one was announced. */
+constexpr milliseconds old_version_grace{2'500};
+/*! @brief Deadline of a caller that states none, where the route has no timeout either. */
+constexpr milliseconds default_timeout{30'000};
+/*! @brief Longest idle time of a connection that a request which may not be repeated reuses. */
+constexpr milliseconds reuse_once{4'000};
+constexpr milliseconds reuse_idempotent{10'000};
+/*! @brief Share of the remaining time after which an idempotent request without an answer is sent elsewhere. */
+constexpr double patience_share{0.45};
+/*! @brief Largest body of a response that is not a stream. */
+constexpr std::size_t whole_body_limit{8u * 1024u * 1024u};
+/*! @brief Priority 0 of a route in the upstreams' scale, where 5 is usual. */
+constexpr unsigned urgency_base{3u};
+constexpr unsigned urgency_max{9u};
+
+constexpr milliseconds retry_soon{200};
+constexpr milliseconds retry_overload{400};
+
+[[nodiscard]] milliseconds to_ms(core::duration value) {
+    return std::chrono::duration_cast<milliseconds>(value);
+}
+
+} // namespace
+
+/*! @brief What to do after an attempt. */
+enum class forwarder::step {
+    /*! @brief The caller has its final answer, or is gone. */
+    finished,
+    /*! @brief Try another upstream. */
+    again,
+    /*! @brief Answer with the last failure. */
+    stop
+};
+
+struct forwarder::exchange_state {
+    exchange_state(http::request caller_request, http::response_writer& out, core::time_point arrival)
+        : message{std::move(caller_request)}, writer{out}, begin{arrival} {}
+
+    http::request message;
+    http::response_writer& writer;
+    core::time_point begin;
+    request_terms terms{};
+    route_table::configuration_type config{};
+    const route* target{};
+    std::string service{};
+    core::time_point deadline{};
+    std::string digest{};
+
+    std::shared_ptr<http::exchange_control> control{};
+    bool caller_gone{false};
+
+    std::set<std::string> excluded{};
+    unsigned choices{};
+    unsigned sends{};
+    unsigned runs{};
+    /*! @brief Whether the request may have run on some upstream. */
+    core::verdict verdict{core::verdict::not_run};
+    core::error last{.cause = core::reason::unavailable, .message = "no upstream takes the request"};
+
+    bool head_sent{false};
+    event_splitter events{};
+    std::optional<core::time_point> first_event{};
+
+    unsigned status{};
+    std::string outcome{"unanswered"};
+    std::string path{};
+
+    [[nodiscard]] bool repeatable() const noexcept {
+        return this->target->repeat != repeatability::once;
+    }
+};
+
+forwarder::forwarder(forwarder_context uses) : context{std::move(uses)} {}
+
+forwarder::~forwarder() = default;
+
+std::size_t forwarder::live_nodes(bool own_zone) const {
+    const auto members = this->context.membership.members();
+    const auto count = std::ranges::count_if(*members, [&](const fleet::member& other) {
+        return other.is_live() && (!own_zone || other.info.availability_zone == this->context.availability_zone);
+    });
+    return std::max<std::size_t>(static_cast<std::size_t>(count), 1u);
+}
+
+std::uint64_t forwarder::oldest_version(const exchange_state& state) const {
+    const auto newest = this->context.placement.newest(state.terms.model, state.terms.adapter);
+    const bool in_grace = newest.version > 0u && this->context.time.now() - newest.at < old_version_grace;
+    return in_grace ? 0u : newest.version;
+}
+
+asio::awaitable<void> forwarder::handle(http::request message, http::response_writer& writer) {
+    exchange_state state{std::move(message), writer, this->context.time.now()};
+    const auto disconnected = std::make_shared<exchange_state*>(&state);
+    writer.on_disconnect([disconnected] {
+        if(auto* exchange = *disconnected) {
+            exchange->caller_gone = true;
+            if(exchange->control) {
+                exchange->control->cancel();
+            }
+        }
+    });
+    co_await this->serve(state);
+    *disconnected = nullptr;
+    this->log(state);
+}
+
+asio::awaitable<void> forwarder::serve(exchange_state& state) {
+    auto terms = this->context.format.read_request(state.message);
+    state.config = this->context.routes.current();
+    if(!terms) {
+        co_await this->refuse(state, 400u, std::move(terms.error()));
+        co_return;
+    }
+    state.terms = std::move(*terms);
+    if(!state.config) {
+        core::error failure{.cause = core::reason::unavailable,
+            .message = "the node has no configuration yet",
+            .retry_after = retry_overload};
+        co_await this->refuse(state, 503u, std::move(failure));
+        co_return;
+    }
+    state.target = this->context.routes.find(state.message.headers.find("host").value_or(""), state.message.target);
+    if(state.target == nullptr) {
+        core::error failure{.cause = core::reason::not_found, .message = "no route matches the host and path"};
+        co_await this->refuse(state, 404u, std::move(failure));
+        co_return;
+    }
+    auto limit = state.target->timeout.count() > 0 ? state.target->timeout : default_timeout;
+    if(state.terms.deadline) {
+        limit = std::min(limit, *state.terms.deadline);
+    }
+    state.deadline = state.begin + limit;
+    state.service = route_table::pick_service(*state.target, state.terms.id);
+    state.digest = core::digest(state.message.method + '|' + std::string{state.message.headers.find("host").value_or("")} +
+                                '|' + state.message.target + '|' + state.terms.model + '/' + state.terms.adapter + '|' +
+                                state.message.body);
+    if(this->context.quarantine.classify(state.digest) == policy::standing::quarantined) {
+        core::error failure{
+            .cause = core::reason::quarantined, .message = "the request crashed the upstreams that ran it"};
+        co_await this->refuse(state, 503u, std::move(failure));
+        co_return;
+    }
+    this->context.budget.record_request(state.service, state.begin);
+    if(!state.terms.adapter.empty()) {
+        this->context.selector.record_request(state.terms.model, state.terms.adapter, state.begin);
+    }
+    auto next = step::again;
+    while(next == step::again) {
+        next = co_await this->attempt(state);
+    }
+    if(next == step::stop) {
+        co_await this->give_up(state);
+    }
+}
+
+asio::awaitable<forwarder::step> forwarder::attempt(exchange_state& state) {
+    const auto now = this->context.time.now();
+    if(state.caller_gone) {
+        state.outcome = "caller_gone";
+        co_return step::finished;
+    }
+    if(now + send_margin >= state.deadline) {
+        state.last = core::error{.cause = core::reason::deadline_exceeded, .verdict = state.verdict,
+            .message = "the deadline has passed"};
+        co_return step::stop;
+    }
+    if(++state.choices > choices_max) {
+        co_return step::stop;
+    }
+    selection_request wanted{.service = state.service,
+        .model = state.terms.model,
+        .adapter = state.terms.adapter,
+        .version_min = this->oldest_version(state),
+        .excluded = &state.excluded,
+        .nodes_in_zone = this->live_nodes(true)};
+    wanted.can_load = [this](std::string_view zone) { return this->context.placement.can_load(zone); };
+    const auto choice = this->context.selector.choose(this->context.upstreams, wanted, now);
+    if(!choice) {
+        co_return step::stop;
+    }
+    if(!choice->resident && !co_await this->make_resident(state, *choice)) {
+        state.excluded.insert(choice->upstream);
+        co_return step::again;
+    }
+    // The first send is free; later ones draw on the budget of the fleet.
+    if(state.sends > 0u &&
+        !this->context.budget.take(state.service, this->live_nodes(false), this->context.time.now())) {
+        state.path += ";no_budget";
+        co_return step::stop;
+    }
+    co_return co_await this->send(state, choice->upstream);
+}
+
+asio::awaitable<bool> forwarder::make_resident(exchange_state& state, const selection& choice) {
+    const auto left = to_ms(state.deadline - this->context.time.now());
+    const auto wait = std::min(load_wait_max, left * 6 / 10);
+    // A named value: g++ 12 destroys aggregate temporaries of a co_await expression twice.
+    wire::adapter_wanted wanted{.upstream = choice.upstream,
+        .model = state.terms.model,
+        .adapter = state.terms.adapter,
+        .version_min = this->oldest_version(state),
+        .timeout_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(wait.count(), 1))};
+    auto version = co_await this->context.placement.ensure(std::move(wanted));
+    state.path += ";load@" + choice.upstream + ':' + std::string{version ? "ready" : core::to_string(version.error().cause)};
+    if(!version) {
+        state.last = std::move(version.error());
+        state.last.verdict = state.verdict;
+        co_return false;
+    }
+    this->context.upstreams.observe_adapter(choice.upstream, state.terms.model, state.terms.adapter, true, *version,
+        this->context.time.now());
+    co_return true;
+}
+
+asio::awaitable<forwarder::step> forwarder::send(exchange_state& state, const std::string& upstream) {
+    auto* known = this->context.upstreams.find(upstream);
+    if(state.caller_gone) {
+        state.outcome = "caller_gone";
+        co_return step::finished;
+    }
+    if(known == nullptr || known->entry.leaving) {
+        co_return step::again;
+    }
+    const auto now = this->context.time.now();
+    const auto left = to_ms(state.deadline - now);
+    forward_terms added{.deadline = left, .expected_upstream = upstream};
+    added.urgency = std::min(urgency_base + state.target->priority, urgency_max);
+    added.resume_after = state.events.last_id() ? state.events.last_id() : state.terms.last_event;
+    auto outgoing = this->context.format.make_upstream_request(state.message, added);
+
+    ++state.sends;
+    state.control = std::make_shared<http::exchange_control>();
+    http::exchange_options options{};
+    options.timeout = left + deadline_margin;
+    options.reuse_within = state.repeatable() ? reuse_idempotent : reuse_once;
+    options.resend_safe = false;
+    options.keep_host = true;
+    options.control = state.control;
+    options.accepts = [this, id = state.terms.id](unsigned status, const http::fields& headers) {
+        const auto terms = this->context.format.read_answer(status, headers);
+        return terms.request_id == id || (terms.request_id.empty() && terms.not_run);
+    };
+
+    // A request that may be sent elsewhere does not wait for a silent upstream until its deadline.
+    asio::steady_timer patience{co_await asio::this_coro::executor};
+    if(state.repeatable() && state.runs + 1u < state.target->attempts_max) {
+        const auto share = milliseconds{static_cast<std::int64_t>(static_cast<double>(left.count()) * patience_share)};
+        patience.expires_after(std::max(share, std::min(state.target->objective, left)));
+        patience.async_wait([control = state.control](const boost::system::error_code& failure) {
+            if(!failure) {
+                control->cancel();
+            }
+        });
+    }
+
+    ++known->in_flight;
+    known->pending_tokens += state.terms.prompt_tokens;
+    if(!state.terms.adapter.empty()) {
+        this->context.placement.record_use(upstream, state.terms.model, state.terms.adapter);
+    }
+    const auto address = known->entry.address;
+    auto opened = co_await this->context.client.open(address, std::move(outgoing), std::move(options));
+    patience.cancel();
+    if(known = this->context.upstreams.find(upstream); known != nullptr) {
+        known->pending_tokens -= std::min(known->pending_tokens, state.terms.prompt_tokens);
+    }
+    auto next = step::stop;
+    if(opened) {
+        next = co_await this->receive(state, upstream, **opened);
+    } else {
+        next = this->failed(state, upstream, opened.error());
+    }
+    if(known = this->context.upstreams.find(upstream); known != nullptr && known->in_flight > 0u) {
+        --known->in_flight;
+    }
+    state.control.reset();
+    co_return next;
+}
+
+forwarder::step forwarder::failed(exchange_state& state, const std::string& upstream, const core::error& failure) {
+    const auto now = this->context.time.now();
+    auto* known = this->context.upstreams.find(upstream);
+    state.path += ';' + upstream + ':' + std::string{core::to_string(failure.cause)};
+    if(state.caller_gone) {
+        state.outcome = "caller_gone";
+        return step::finished;
+    }
+    state.last = failure;
+    if(failure.verdict == core::verdict::not_run) {
+        // No connection, so that nothing arrived: another upstream costs no retry.
+        --state.sends;
+        state.last.verdict = state.verdict;
+        state.excluded.insert(upstream);
+        if(known != nullptr) {
+            known->health.record_unreachable(now);
+        }
+        return step::again;
+    }
+    ++state.runs;
+    state.verdict = core::verdict::may_have_run;
+    if(known != nullptr) {
+        known->health.record(true, now);
+        if(failure.cause == core::reason::connection_lost) {
+            const auto crash = policy::crash_quarantine::crash_id(upstream, std::to_string(known->entry.started_ms));
+            const std::array digests{state.digest};
+            this->context.quarantine.crashed(crash, digests);
+        }
+    }
+    state.excluded.insert(upstream);
+    const bool quarantined = this->context.quarantine.classify(state.digest) == policy::standing::quarantined;
+    const bool again = state.repeatable() && state.runs < state.target->attempts_max && !quarantined;
+    return again && now + send_margin < state.deadline ? step::again : step::stop;
+}
+
+forwarder::step forwarder::not_run(
+    exchange_state& state, const std::string& upstream, const answer_terms& terms, unsigned status) {
+    const auto now = this->context.time.now();
+    auto* known = this->context.upstreams.find(upstream);
+    state.path += ';' + upstream + ":not_run_" + std::to_string(status);
+    state.last = core::error{.cause = core::reason::overloaded, .verdict = state.verdict,
+        .message = "the upstream refused the request with status " + std::to_string(status),
+        .retry_after = retry_overload};
+    if(terms.misdirected && !state.terms.adapter.empty()) {
+        state.last.cause = core::reason::adapter_not_resident;
+        this->context.upstreams.observe_adapter(
+            upstream, state.terms.model, state.terms.adapter, false, 0u, now);
+    } else {
+        state.excluded.insert(upstream);
+        if(known != nullptr) {
+            known->refused_at = now;
+        }
+    }
+    return state.sends < sends_max ? step::again : step::stop;
+}
+
+asio::awaitable<forwarder::step> forwarder::receive(
+    exchange_state& state, const std::string& upstream, http::response_stream& answer) {
+    const auto terms = this->context.format.read_answer(answer.status(), answer.headers());
+    if(terms.not_run) {
+        // Reading the rest keeps the connection for the next request.
+        static_cast<void>(co_await answer.read());
+        co_return this->not_run(state, upstream, terms, answer.status());
+    }
+    const bool success = answer.status() / 100u == 2u;
+    const bool promises_not_run = answer.status() == 408u || answer.status() == 429u || answer.status() == 503u;
+    if(!terms.signed_by_upstream || terms.encoded || promises_not_run) {
+        answer.close();
+        co_return this->failed(state, upstream,
+            core::error{.cause = core::reason::protocol_error, .verdict = core::verdict::may_have_run,
+                .message = "status " + std::to_string(answer.status()) + " without the upstream's own body"});
+    }
+    if(state.target->streaming && success) {
+        co_return co_await this->pass_stream(state, upstream, answer);
+    }
+    std::string body{};
+    while(true) {
+        auto piece = co_await answer.read();
+        if(!piece) {
+            co_return this->failed(state, upstream, piece.error());
+        }
+        if(piece->empty()) {
+            break;
+        }
+        body += *piece;
+        if(body.size() > whole_body_limit) {
+            answer.close();
+            co_return this->failed(state, upstream,
+                core::error{.cause = core::reason::protocol_error, .verdict = core::verdict::may_have_run,
+                    .message = "the body of the answer is too large"});
+        }
+    }
+    const auto now = this->context.time.now();
+    if(auto* known = this->context.upstreams.find(upstream)) {
+        known->health.record(answer.status() >= 500u, now);
+    }
+    state.path += ';' + upstream + ':' + std::to_string(answer.status());
+    ++state.runs;
+    state.verdict = core::verdict::ran;
+    const bool again = answer.status() >= 500u && state.target->repeat == repeatability::idempotent &&
+                       state.runs < state.target->attempts_max && now + send_margin < state.deadline;
+    if(again && this->context.budget.take(state.service, this->live_nodes(false), now)) {
+        state.excluded.insert(upstream);
+        // This retry is paid for; the next send is not charged again.
+        state.sends = 0u;
+        state.last = core::error{.cause = core::reason::unavailable, .verdict = core::verdict::ran,
+            .message = "the upstream answered with status " + std::to_string(answer.status())};
+        co_return step::again;
+    }
+    if(state.head_sent) {
+        // The stream of an earlier attempt cannot end with a failure of this one.
+        state.writer.abort();
+        state.outcome = "broken";
+        co_return step::finished;
+    }
+    if(success) {
+        this->context.quarantine.ran_alone(state.digest);
+    }
+    state.status = answer.status();
+    state.outcome = success ? "served" : "upstream_failure";
+    http::response whole{.status = answer.status(), .headers = this->context.format.caller_fields(answer.headers()),
+        .body = std::move(body)};
+    if(const auto sent = co_await state.writer.send(std::move(whole)); !sent) {
+        state.outcome = "caller_gone";
+    }
+    co_return step::finished;
+}
+
+asio::awaitable<forwarder::step> forwarder::pass_stream(
+    exchange_state& state, const std::string& upstream, http::response_stream& answer) {
+    state.events.discard_rest();
+    while(true) {
+        auto piece = co_await answer.read();
+        if(!piece) {
+            const bool resumable = state.target->repeat == repeatability::resumable;
+            const auto next = this->failed(state, upstream, piece.error());
+            if(next == step::again && (resumable || !state.head_sent)) {
+                co_return step::again;
+            }
+            if(state.head_sent && !state.caller_gone) {
+                state.writer.abort();
+                state.outcome = "broken";
+                co_return step::finished;
+            }
+            co_return next;
+        }
+        const bool ended = piece->empty();
+        const auto events = ended ? state.events.take_rest() : state.events.feed(*piece);
+        if(events.empty() && !ended) {
+            continue;
+        }
+        if(!state.head_sent) {
+            state.head_sent = true;
+            state.status = answer.status();
+            state.first_event = this->context.time.now();
+            if(const auto sent = co_await state.writer.begin(
+                   answer.status(), this->context.format.caller_fields(answer.headers()));
+                !sent) {
+                answer.close();
+                state.outcome = "caller_gone";
+                co_return step::finished;
+            }
+        }
+        if(!events.empty()) {
+            if(const auto sent = co_await state.writer.write(events); !sent) {
+                answer.close();
+                state.outcome = "caller_gone";
+                co_return step::finished;
+            }
+        }
+        if(ended) {
+            break;
+        }
+    }
+    if(auto* known = this->context.upstreams.find(upstream)) {
+        known->health.record(false, this->context.time.now());
+    }
+    state.path += ';' + upstream + ':' + std::to_string(answer.status());
+    state.verdict = core::verdict::ran;
+    this->context.quarantine.ran_alone(state.digest);
+    const auto finished = co_await state.writer.finish();
+    state.outcome = finished ? "served" : "caller_gone";
+    co_return step::finished;
+}
+
+asio::awaitable<void> forwarder::give_up(exchange_state& state) {
+    if(state.head_sent) {
+        state.writer.abort();
+        state.outcome = "broken";
+        co_return;
+    }
+    auto failure = state.last;
+    failure.verdict = state.verdict;
+    if(state.verdict == core::verdict::not_run) {
+        failure.retry_after = failure.cause == core::reason::overloaded ? retry_overload : retry_soon;
+        co_await this->refuse(state, 503u, std::move(failure));
+        co_return;
+    }
+    failure.retry_after.reset();
+    const bool late = failure.cause == core::reason::timeout || failure.cause == core::reason::deadline_exceeded;
+    co_await this->refuse(state, late ? 504u : 502u, std::move(failure));
+}
+
+asio::awaitable<void> forwarder::refuse(exchange_state& state, unsigned status, core::error failure) {
+    state.status = status;
+    state.outcome = "refused";
+    state.last = failure;
+    auto answer = this->context.format.make_refusal(status, failure, state.terms.id);
+    static_cast<void>(co_await state.writer.send(std::move(answer)));
+}
+
+void forwarder::log(const exchange_state& state) {
+    const auto now = this->context.time.now();
+    const auto kind = state.target != nullptr ? state.target->name : std::string{};
+    log_line line{"request"};
+    line.add("id", state.terms.id)
+        .add("route", kind)
+        .add("config", static_cast<std::int64_t>(state.config ? state.config->version : 0u))
+        .add("service", state.service)
+        .add("adapter", state.terms.adapter)
+        .add("path", state.path)
+        .add("status", static_cast<std::int64_t>(state.status))
+        .add("outcome", state.outcome)
+        .add("verdict", core::to_string(state.verdict))
+        .add("ms", to_ms(now - state.begin).count());
+    if(state.first_event) {
+        line.add("first_ms", to_ms(*state.first_event - state.begin).count());
+    }
+    if(state.outcome != "served") {
+        line.add("reason", core::to_string(state.last.cause)).add("message", state.last.message);
+    }
+    this->context.log.write(line);
+    this->context.metrics
+        .counter("lagoonsaddle_edge_requests_total", "Requests of callers by outcome.",
+            {{"service", state.service}, {"outcome", state.outcome}})
+        .add();
+    this->context.metrics
+        .summary("lagoonsaddle_edge_request_seconds", "Time from the request to the end of its answer.",
+            {{"service", state.service}, {"outcome", state.outcome}})
+        .record(std::chrono::duration<double>{now - state.begin}.count());
+}
+
+} // namespace lagoonsaddle::edge
--- /dev/null
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -0,0 +1,86 @@
+#ifndef LAGOONSADDLE_EDGE_FORWARDER_HPP
+#define LAGOONSADDLE_EDGE_FORWARDER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <lagoonsaddle/core/clock.hpp>
+#include <lagoonsaddle/edge/decision_log.hpp>
+#include <lagoonsaddle/edge/placement_service.hpp>
+#include <lagoonsaddle/edge/protocol.hpp>
+#include <lagoonsaddle/edge/retry_budget.hpp>
+#include <lagoonsaddle/edge/route_table.hpp>
+#include <lagoonsaddle/edge/upstream_selector.hpp>
+#include <lagoonsaddle/edge/upstream_table.hpp>
+#include <lagoonsaddle/gateway/membership_service.hpp>
+#include <lagoonsaddle/gateway/quarantine_service.hpp>
+#include <lagoonsaddle/http/client.hpp>
+#include <lagoonsaddle/http/server.hpp>
+#include <lagoonsaddle/operate/metrics_registry.hpp>
+
+namespace lagoonsaddle::edge {
+
+/*! @brief What the forwarder uses; everything must outlive it. */
+struct forwarder_context {
+    const core::clock& time;
+    log_sink& log;
+    const request_format& format;
+    http::client& client;
+    route_table& routes;
+    upstream_table& upstreams;
+    upstream_selector& selector;
+    retry_budget& budget;
+    placement_service& placement;
+    gateway::quarantine_service& quarantine;
+    gateway::membership_service& membership;
+    operate::metrics_registry& metrics;
+    std::string node{};
+    std::string availability_zone{};
+};
+
+/**
+ * @brief Forwards the requests of callers straight to an upstream.
+ *
+ * Sends a request again only when it may run again, or when it provably has not run, within the route's attempts, the
+ * deadline and the retry budget. A request that cannot be served is refused at once.
+ */
+class forwarder final : public http::handler {
+public:
+    explicit forwarder(forwarder_context context);
+    ~forwarder() override;
+
+    boost::asio::awaitable<void> handle(http::request message, http::response_writer& writer) override;
+
+private:
+    struct exchange_state;
+    enum class step;
+
+    [[nodiscard]] boost::asio::awaitable<void> serve(exchange_state& state);
+    [[nodiscard]] boost::asio::awaitable<step> attempt(exchange_state& state);
+    [[nodiscard]] boost::asio::awaitable<bool> make_resident(exchange_state& state, const selection& choice);
+    [[nodiscard]] boost::asio::awaitable<step> send(exchange_state& state, const std::string& upstream);
+    [[nodiscard]] boost::asio::awaitable<step> receive(
+        exchange_state& state, const std::string& upstream, http::response_stream& answer);
+    [[nodiscard]] boost::asio::awaitable<step> pass_stream(exchange_state& state, const std::string& upstream,
+        http::response_stream& answer);
+    [[nodiscard]] step failed(exchange_state& state, const std::string& upstream, const core::error& failure);
+    [[nodiscard]] step not_run(exchange_state& state, const std::string& upstream, const answer_terms& terms,
+        unsigned status);
+    [[nodiscard]] boost::asio::awaitable<void> refuse(
+        exchange_state& state, unsigned status, core::error failure);
+    [[nodiscard]] boost::asio::awaitable<void> give_up(exchange_state& state);
+    [[nodiscard]] std::uint64_t oldest_version(const exchange_state& state) const;
+    [[nodiscard]] std::size_t live_nodes(bool own_zone) const;
+    void log(const exchange_state& state);
+
+    forwarder_context context;
+};
+
+} // namespace lagoonsaddle::edge
+
+#endif
--- /dev/null
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -0,0 +1,147 @@
+#ifndef LAGOONSADDLE_EDGE_PLACEMENT_SERVICE_HPP
+#define LAGOONSADDLE_EDGE_PLACEMENT_SERVICE_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <lagoonsaddle/core/clock.hpp>
+#include <lagoonsaddle/edge/decision_log.hpp>
+#include <lagoonsaddle/edge/lease_tracker.hpp>
+#include <lagoonsaddle/edge/protocol.hpp>
+#include <lagoonsaddle/edge/route_table.hpp>
+#include <lagoonsaddle/edge/slot_ledger.hpp>
+#include <lagoonsaddle/edge/upstream_table.hpp>
+#include <lagoonsaddle/gateway/membership_service.hpp>
+#include <lagoonsaddle/gateway/peer_directory.hpp>
+#include <lagoonsaddle/wire/messages.hpp>
+
+namespace lagoonsaddle::edge {
+
+/*! @brief Options of `placement_service`. */
+struct placement_options {
+    std::string self{};
+    std::string availability_zone{};
+    std::uint64_t boot_id{};
+    bool fenced{true};
+    /*! @brief Time between orders of two holders to one upstream where fencing tokens are not checked. */
+    std::chrono::milliseconds lease_time{3'000};
+};
+
+/*! @brief What the service uses; everything must outlive it. */
+struct placement_context {
+    boost::asio::io_context& io;
+    const core::clock& time;
+    log_sink& log;
+    record_store& store;
+    upstream_control& control;
+    route_table& routes;
+    upstream_table& upstreams;
+    gateway::membership_service& membership;
+    gateway::peer_directory& peers;
+};
+
+/**
+ * @brief Makes adapters resident: through the node that holds the lease of the upstream's availability zone.
+ *
+ * All state is used from the one thread that runs the `io_context`.
+ */
+class placement_service : public std::enable_shared_from_this<placement_service> {
+public:
+    placement_service(placement_context context, placement_options options);
+
+    /*! @brief Starts to keep leases and to give orders. */
+    void start();
+
+    /*! @brief Releases the leases of this node, so that another node takes over at once. */
+    [[nodiscard]] boost::asio::awaitable<void> release();
+
+    /**
+     * @brief Makes an adapter resident on an upstream, through its lease holder.
+     * @param wanted What is wanted.
+     * @return The resident version, or an error; the request has not been sent in either case.
+     */
+    [[nodiscard]] boost::asio::awaitable<core::result<std::uint64_t>> ensure(wire::adapter_wanted wanted);
+
+    /*! @brief Answers `ensure` of a peer, when this node holds the lease. */
+    [[nodiscard]] boost::asio::awaitable<core::result<std::uint64_t>> ensure_here(wire::adapter_wanted wanted);
+
+    /*! @brief Tells whether some live node can order loads in an availability zone. */
+    [[nodiscard]] bool can_load(std::string_view zone) const;
+
+    /*! @brief Notes that a request uses an adapter. */
+    void record_use(std::string_view upstream, std::string_view model, std::string_view adapter);
+
+    /*! @brief Takes over the uses of a peer. */
+    void receive_usage(const wire::adapter_usage& usage);
+
+    /*! @brief Takes over a lease record; a null record was removed. */
+    void lease_changed(const std::string& zone, const stored_lease* record);
+
+    /*! @brief Takes over a newly announced version. */
+    void version_announced(const version_record& record);
+
+    /*! @brief Returns the newest known version of an adapter and when it became known. */
+    struct announced {
+        std::uint64_t version{};
+        core::time_point at{};
+    };
+    [[nodiscard]] announced newest(std::string_view model, std::string_view adapter) const;
+
+    /*! @brief Follows the availability zones of the known upstreams. */
+    void upstreams_changed();
+
+private:
+    struct driver {
+        slot_ledger ledger;
+        boost::asio::steady_timer wake;
+        std::uint64_t started_ms{};
+        /*! @brief When the last report that was taken over was asked for. */
+        std::optional<core::time_point> reported{};
+    };
+
+    [[nodiscard]] boost::asio::awaitable<void> keep_lease(std::string zone);
+    [[nodiscard]] boost::asio::awaitable<void> drive(std::string upstream);
+    [[nodiscard]] boost::asio::awaitable<void> send_usage();
+    [[nodiscard]] boost::asio::awaitable<bool> load_missing_model(const std::string& upstream, driver& state);
+    [[nodiscard]] boost::asio::awaitable<void> give(
+        const std::string& upstream, driver& state, const ledger_order& order);
+    [[nodiscard]] boost::asio::awaitable<bool> synchronize(const std::string& upstream, driver& state);
+    [[nodiscard]] boost::asio::awaitable<void> pause(driver& state, core::duration time);
+
+    [[nodiscard]] lease_tracker& tracker(const std::string& zone);
+    [[nodiscard]] holder_status status_of(const lease_tracker& lease) const;
+    [[nodiscard]] std::optional<std::size_t> rank(const std::string& zone) const;
+    [[nodiscard]] const service* service_of(const std::string& upstream) const;
+    [[nodiscard]] bool drives(const std::string& upstream);
+    [[nodiscard]] std::shared_ptr<driver> driver_of(const std::string& upstream);
+
+    placement_context context;
+    placement_options settings;
+    core::time_point started{};
+    bool releasing{false};
+    std::map<std::string, lease_tracker, std::less<>> leases{};
+    std::map<std::string, std::shared_ptr<driver>, std::less<>> drivers{};
+    std::map<std::string, announced, std::less<>> versions{};
+    /*! @brief Uses since the last message, by availability zone. */
+    std::map<std::string, std::set<std::tuple<std::string, std::string, std::string>>, std::less<>> uses{};
+    /*! @brief Upstream that loads a base model at present, by availability zone. */
+    std::map<std::string, std::string, std::less<>> model_loads{};
+    /*! @brief Measured time of an adapter's load. */
+    core::duration load_time{std::chrono::milliseconds{250}};
+};
+
+} // namespace lagoonsaddle::edge
+
+#endif
--- /dev/null
+++ b/src/lagoonsaddle/edge/route_table.cpp
@@ -0,0 +1,74 @@
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+#include <lagoonsaddle/core/hash.hpp>
+#include <lagoonsaddle/edge/route_table.hpp>
+
+namespace lagoonsaddle::edge {
+
+namespace {
+
+[[nodiscard]] std::string_view without_port(std::string_view host) noexcept {
+    return host.substr(0u, host.find(':'));
+}
+
+[[nodiscard]] bool same_host(std::string_view left, std::string_view right) {
+    return std::ranges::equal(left, right,
+        [](unsigned char one, unsigned char other) { return std::tolower(one) == std::tolower(other); });
+}
+
+} // namespace
+
+bool route_table::apply(configuration value) {
+    if(this->config && value.version <= this->config->version) {
+        return false;
+    }
+    this->config = std::make_shared<const configuration>(std::move(value));
+    return true;
+}
+
+const route* route_table::find(std::string_view host, std::string_view target) const {
+    if(!this->config) {
+        return nullptr;
+    }
+    const auto path = target.substr(0u, target.find('?'));
+    const auto name = without_port(host);
+    const route* best{};
+    for(const auto& entry : this->config->routes) {
+        const bool longer = best == nullptr || entry.path_prefix.size() > best->path_prefix.size();
+        if(longer && path.starts_with(entry.path_prefix) && same_host(entry.host, name)) {
+            best = &entry;
+        }
+    }
+    return best;
+}
+
+const service* route_table::find_service(std::string_view name) const {
+    if(!this->config) {
+        return nullptr;
+    }
+    const auto found =
+        std::ranges::find_if(this->config->services, [name](const service& entry) { return entry.name == name; });
+    return found == this->config->services.end() ? nullptr : &*found;
+}
+
+std::string_view route_table::pick_service(const route& entry, std::string_view key) {
+    std::uint64_t total{};
+    for(const auto& share : entry.services) {
+        total += share.weight;
+    }
+    if(total == 0u) {
+        return {};
+    }
+    auto point = core::hash(key) % total;
+    for(const auto& share : entry.services) {
+        if(point < share.weight) {
+            return share.name;
+        }
+        point -= share.weight;
+    }
+    return {};
+}
+
+} // namespace lagoonsaddle::edge
--- /dev/null
+++ b/src/lagoonsaddle/edge/slot_ledger.cpp
@@ -0,0 +1,197 @@
+#include <algorithm>
+#include <utility>
+
+#include <lagoonsaddle/edge/slot_ledger.hpp>
+#include <lagoonsaddle/edge/upstream_table.hpp>
+
+namespace lagoonsaddle::edge {
+
+namespace {
+
+/*! @brief Adapters whose last use is remembered after they were unloaded. */
+constexpr std::size_t uses_max{4'096u};
+
+[[nodiscard]] std::pair<std::string, std::string> split_key(std::string_view key) {
+    const auto slash = key.find('/');
+    return {std::string{key.substr(0u, slash)}, std::string{key.substr(slash + 1u)}};
+}
+
+} // namespace
+
+void slot_ledger::synchronize(const upstream_report& report, core::time_point now) {
+    this->known = true;
+    this->accepted = report.orders_accepted;
+    this->models.clear();
+    std::map<std::string, slot, std::less<>> reported{};
+    for(const auto& [model, held] : report.models) {
+        this->models.insert(model);
+        for(const auto& [adapter, version] : held.adapters) {
+            const auto key = adapter_key(model, adapter);
+            const auto previous = this->slots.find(key);
+            auto entry = previous == this->slots.end() ? slot{} : previous->second;
+            entry.version = version;
+            if(const auto use = this->uses.find(key); use != this->uses.end()) {
+                entry.used = std::max(entry.used, use->second);
+            }
+            if(previous == this->slots.end() && this->coming.contains(key)) {
+                entry.used = now;
+            }
+            reported.emplace(key, entry);
+        }
+    }
+    this->slots = std::move(reported);
+    std::map<std::string, arrival, std::less<>> arriving{};
+    for(const auto& key : report.coming) {
+        const auto previous = this->coming.find(key);
+        arriving.emplace(key, previous == this->coming.end() ? arrival{.version = 0u, .ordered = now} : previous->second);
+    }
+    this->coming = std::move(arriving);
+    std::erase_if(this->wants, [this](const auto& entry) {
+        const auto found = this->slots.find(entry.first);
+        return found != this->slots.end() && found->second.version >= entry.second.version;
+    });
+}
+
+void slot_ledger::want(std::string_view model, std::string_view adapter, std::uint64_t version, core::time_point now) {
+    const auto key = adapter_key(model, adapter);
+    this->uses[key] = now;
+    auto [found, added] = this->wants.try_emplace(
+        key, wish{.model = std::string{model}, .adapter = std::string{adapter}, .version = version, .first = now});
+    found->second.last = now;
+    found->second.version = std::max(found->second.version, version);
+}
+
+void slot_ledger::touch(std::string_view model, std::string_view adapter, core::time_point now) {
+    const auto key = adapter_key(model, adapter);
+    if(const auto found = this->slots.find(key); found != this->slots.end()) {
+        found->second.used = std::max(found->second.used, now);
+    }
+    this->uses[key] = now;
+    if(this->uses.size() > uses_max) {
+        std::erase_if(this->uses, [this, now](const auto& entry) {
+            return !this->slots.contains(entry.first) && now - entry.second > this->settings.want_lifetime;
+        });
+    }
+}
+
+void slot_ledger::announce(std::string_view model, std::string_view adapter, std::uint64_t version) {
+    auto& current = this->newest[adapter_key(model, adapter)];
+    current = std::max(current, version);
+}
+
+std::optional<std::uint64_t> slot_ledger::resident(std::string_view model, std::string_view adapter) const {
+    const auto key = adapter_key(model, adapter);
+    const auto found = this->slots.find(key);
+    if(found == this->slots.end() || found->second.unloading || this->coming.contains(key)) {
+        return std::nullopt;
+    }
+    return found->second.version;
+}
+
+core::time_point slot_ledger::oldest_load() const {
+    auto oldest = core::time_point::max();
+    for(const auto& [key, entry] : this->coming) {
+        oldest = std::min(oldest, entry.ordered);
+    }
+    return oldest;
+}
+
+std::size_t slot_ledger::used_slots() const noexcept {
+    std::size_t used = this->slots.size();
+    for(const auto& [key, entry] : this->coming) {
+        used += this->slots.contains(key) ? 0u : 1u;
+    }
+    return used;
+}
+
+std::optional<std::string> slot_ledger::victim(core::time_point now) const {
+    std::optional<std::string> oldest{};
+    auto used = core::time_point::max();
+    for(const auto& [key, entry] : this->slots) {
+        const bool idle = now - entry.used >= this->settings.idle_min;
+        if(idle && !entry.unloading && !this->wants.contains(key) && !this->coming.contains(key) && entry.used < used) {
+            oldest = key;
+            used = entry.used;
+        }
+    }
+    return oldest;
+}
+
+bool slot_ledger::can_place(core::time_point now) const {
+    const bool unloading = std::ranges::any_of(this->slots, [](const auto& entry) { return entry.second.unloading; });
+    return !this->known || unloading || this->used_slots() < this->settings.slots || this->victim(now).has_value();
+}
+
+std::optional<ledger_order> slot_ledger::next(core::time_point now) {
+    if(!this->known) {
+        return std::nullopt;
+    }
+    std::erase_if(this->wants,
+        [this, now](const auto& entry) { return now - entry.second.last > this->settings.want_lifetime; });
+    // A resident adapter with a newer version is replaced in its place.
+    if(this->coming.size() < this->settings.loads_max) {
+        for(const auto& [key, entry] : this->slots) {
+            const auto announced = this->newest.find(key);
+            if(announced != this->newest.end() && entry.version < announced->second && !entry.unloading &&
+                !this->coming.contains(key)) {
+                auto [model, adapter] = split_key(key);
+                return ledger_order{
+                    .model = std::move(model), .adapter = std::move(adapter), .version = announced->second};
+            }
+        }
+    }
+    const wish* first{};
+    for(const auto& [key, entry] : this->wants) {
+        const bool pending = !this->coming.contains(key) && !this->slots.contains(key);
+        if(pending && this->models.contains(entry.model) && (first == nullptr || entry.first < first->first)) {
+            first = &entry;
+        }
+    }
+    if(first == nullptr || this->coming.size() >= this->settings.loads_max) {
+        return std::nullopt;
+    }
+    if(this->used_slots() < this->settings.slots) {
+        return ledger_order{.model = first->model,
+            .adapter = first->adapter,
+            .version = first->version > 0u ? std::optional{first->version} : std::nullopt};
+    }
+    const bool unloading = std::ranges::any_of(this->slots, [](const auto& entry) { return entry.second.unloading; });
+    if(const auto oldest = unloading ? std::nullopt : this->victim(now)) {
+        auto [model, adapter] = split_key(*oldest);
+        return ledger_order{.load = false, .model = std::move(model), .adapter = std::move(adapter)};
+    }
+    return std::nullopt;
+}
+
+void slot_ledger::record(const ledger_order& order, order_outcome outcome, core::time_point now) {
+    const auto key = adapter_key(order.model, order.adapter);
+    switch(outcome) {
+    case order_outcome::accepted:
+        ++this->accepted;
+        if(order.load) {
+            this->coming[key] = arrival{.version = order.version.value_or(0u), .ordered = now};
+        } else if(const auto found = this->slots.find(key); found != this->slots.end()) {
+            found->second.unloading = true;
+        }
+        break;
+    case order_outcome::done:
+        ++this->accepted;
+        if(order.load) {
+            auto& entry = this->slots[key];
+            entry.version = std::max(entry.version, order.version.value_or(0u));
+            entry.used = now;
+            this->wants.erase(key);
+        } else {
+            this->slots.erase(key);
+        }
+        break;
+    case order_outcome::out_of_turn:
+    case order_outcome::stale_token:
+    case order_outcome::misdirected:
+    case order_outcome::invalid:
+        this->known = false;
+        break;
+    }
+}
+
+} // namespace lagoonsaddle::edge
--- /dev/null
+++ b/src/lagoonsaddle/edge/upstream_selector.cpp
@@ -0,0 +1,133 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+#include <lagoonsaddle/core/hash.hpp>
+#include <lagoonsaddle/edge/upstream_selector.hpp>
+
+namespace lagoonsaddle::edge {
+
+namespace {
+
+/*! @brief Time constant of the request rates of adapters. */
+constexpr std::chrono::duration<double> rate_memory{5.0};
+/*! @brief Adapters whose rates are remembered; a forgotten one counts as rare. */
+constexpr std::size_t rates_max{8'192u};
+
+// Costs in milliseconds of delay.
+/*! @brief Load of an adapter from the weight store. */
+constexpr double load_cost_ms{250.0};
+/*! @brief Upstream other than one of the adapter's homes: its prompt cache is cold, and a load displaces others. */
+constexpr double away_cost_ms{100.0};
+/*! @brief Upstream in another availability zone: transfers between availability zones are expensive. */
+constexpr double zone_cost_ms{60.0};
+/*! @brief Availability zone in which no node can order the load. */
+constexpr double no_loader_cost_ms{5'000.0};
+/*! @brief Failure share of 1. */
+constexpr double failure_cost_ms{4'000.0};
+constexpr double unreachable_cost_ms{20'000.0};
+/*! @brief Refusal because the upstream was full, fading over `refusal_memory`. */
+constexpr double refusal_cost_ms{400.0};
+constexpr std::chrono::duration<double> refusal_memory{1.0};
+/*! @brief Prompt tokens that an upstream reads per millisecond. */
+constexpr double prompt_tokens_per_ms{40.0};
+/*! @brief Delay that each running request adds to the others of a model upstream. */
+constexpr double batch_cost_ms{2.0};
+/*! @brief Delay of a plain service per request in proportion to its places. */
+constexpr double service_cost_ms{120.0};
+/*! @brief Weight of the load that other nodes are assumed to put on an upstream, per node beside this one. */
+constexpr double peer_load_share{0.5};
+
+[[nodiscard]] double waiting_cost(const known_upstream& upstream, bool serves_models, std::size_t nodes) {
+    const double share = 1.0 + peer_load_share * static_cast<double>(nodes > 0u ? nodes - 1u : 0u);
+    if(!serves_models) {
+        const auto slots = std::max(upstream.entry.slots, 1u);
+        return service_cost_ms * share * upstream.in_flight / slots;
+    }
+    const auto prefill = static_cast<double>(upstream.pending_tokens) / prompt_tokens_per_ms;
+    return share * (prefill + batch_cost_ms * upstream.in_flight);
+}
+
+[[nodiscard]] double trouble_cost(const known_upstream& upstream, core::time_point now) {
+    double cost = failure_cost_ms * upstream.health.failure_share(now);
+    if(upstream.health.unreachable(now)) {
+        cost += unreachable_cost_ms;
+    }
+    if(upstream.refused_at != core::time_point::min()) {
+        const std::chrono::duration<double> age{now - upstream.refused_at};
+        cost += refusal_cost_ms * std::exp(-(age / refusal_memory));
+    }
+    return cost;
+}
+
+} // namespace
+
+void upstream_selector::record_request(std::string_view model, std::string_view adapter, core::time_point now) {
+    const auto key = adapter_key(model, adapter);
+    if(this->rates.size() >= rates_max && !this->rates.contains(key)) {
+        std::erase_if(this->rates, [now](const auto& entry) { return now - entry.second.updated > rate_memory; });
+    }
+    auto& entry = this->rates[key];
+    const std::chrono::duration<double> age{now - entry.updated};
+    entry.per_second = entry.per_second * std::exp(-(age / rate_memory)) + 1.0 / rate_memory.count();
+    entry.updated = now;
+}
+
+std::size_t upstream_selector::homes(const selection_request& wanted, core::time_point now) const {
+    const auto found = this->rates.find(adapter_key(wanted.model, wanted.adapter));
+    if(found == this->rates.end()) {
+        return 1u;
+    }
+    const std::chrono::duration<double> age{now - found->second.updated};
+    const auto own = found->second.per_second * std::exp(-(age / rate_memory));
+    const auto zone = own * static_cast<double>(std::max<std::size_t>(wanted.nodes_in_zone, 1u));
+    return 1u + static_cast<std::size_t>(zone / this->settings.requests_per_home);
+}
+
+std::optional<selection> upstream_selector::choose(
+    upstream_table& table, const selection_request& wanted, core::time_point now) const {
+    auto candidates = table.usable(wanted.service);
+    const bool serves_models = !wanted.model.empty();
+    std::erase_if(candidates, [&](const known_upstream* upstream) {
+        return (wanted.excluded != nullptr && wanted.excluded->contains(upstream->entry.id)) ||
+               (serves_models && !upstream->holds_model(wanted.model));
+    });
+
+    // The upstreams of the own availability zone come first, then by rendezvous hashing.
+    const std::string key = adapter_key(wanted.model, wanted.adapter);
+    const bool placed = !wanted.adapter.empty();
+    std::vector<std::pair<std::uint64_t, const known_upstream*>> ranking{};
+    ranking.reserve(candidates.size());
+    for(const auto* upstream : candidates) {
+        ranking.emplace_back(core::hash(key + upstream->entry.id), upstream);
+    }
+    const auto local = [this](const known_upstream& upstream) {
+        return upstream.entry.availability_zone == this->settings.availability_zone;
+    };
+    std::ranges::sort(ranking, [&local](const auto& left, const auto& right) {
+        return std::pair{local(*left.second), left.first} > std::pair{local(*right.second), right.first};
+    });
+
+    const auto home_count = placed ? this->homes(wanted, now) : candidates.size();
+    std::optional<selection> best{};
+    for(std::size_t index{}; index < ranking.size(); ++index) {
+        const auto& upstream = *ranking[index].second;
+        const auto version = upstream.adapter_version(wanted.model, wanted.adapter, now);
+        const bool resident = !placed || (version && *version >= wanted.version_min);
+        double cost = waiting_cost(upstream, serves_models, wanted.nodes_in_zone) + trouble_cost(upstream, now);
+        cost += local(upstream) ? 0.0 : zone_cost_ms;
+        cost += index < home_count ? 0.0 : away_cost_ms;
+        if(!resident) {
+            cost += load_cost_ms;
+            const bool loadable = !wanted.can_load || wanted.can_load(upstream.entry.availability_zone);
+            cost += loadable ? 0.0 : no_loader_cost_ms;
+        }
+        if(!best || cost < best->cost_ms) {
+            best = selection{.upstream = upstream.entry.id, .resident = resident, .cost_ms = cost};
+        }
+    }
+    return best;
+}
+
+} // namespace lagoonsaddle::edge
--- /dev/null
+++ b/src/lagoonsaddle/edge/upstream_table.cpp
@@ -0,0 +1,154 @@
+#include <utility>
+
+#include <lagoonsaddle/edge/upstream_table.hpp>
+
+namespace lagoonsaddle::edge {
+
+namespace {
+
+/*! @brief Entries that lapsed during an outage of the store are back within 2 s of its return. */
+constexpr std::chrono::milliseconds lapsed_entry_grace{2'300};
+/*! @brief Time for which an observation goes before the entry, which is written at each heartbeat. */
+constexpr std::chrono::milliseconds observation_lifetime{2'500};
+
+} // namespace
+
+std::string adapter_key(std::string_view model, std::string_view adapter) {
+    std::string key{model};
+    key += '/';
+    key += adapter;
+    return key;
+}
+
+std::optional<std::uint64_t> known_upstream::adapter_version(
+    std::string_view model, std::string_view adapter, core::time_point now) const {
+    const auto seen = this->observed.find(adapter_key(model, adapter));
+    if(seen != this->observed.end() && now - seen->second.at < observation_lifetime) {
+        return seen->second.resident ? std::optional{seen->second.version} : std::nullopt;
+    }
+    const auto held = this->entry.models.find(std::string{model});
+    if(held == this->entry.models.end()) {
+        return std::nullopt;
+    }
+    const auto found = held->second.adapters.find(std::string{adapter});
+    if(found == held->second.adapters.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+bool known_upstream::holds_model(std::string_view model) const {
+    return this->entry.models.contains(std::string{model});
+}
+
+std::vector<std::string> upstream_table::replace(std::span<const upstream_entry> entries, core::time_point now) {
+    std::vector<std::string> changed{};
+    std::set<std::string_view> present{};
+    for(const auto& entry : entries) {
+        present.insert(entry.id);
+        if(this->update(entry, now)) {
+            changed.push_back(entry.id);
+        }
+    }
+    std::vector<std::string> missing{};
+    for(const auto& [id, known] : this->upstreams) {
+        if(!present.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for(auto& id : missing) {
+        if(this->remove(id, now)) {
+            changed.push_back(std::move(id));
+        }
+    }
+    return changed;
+}
+
+bool upstream_table::update(const upstream_entry& entry, core::time_point now) {
+    auto& known = this->upstreams[entry.id];
+    const bool restarted = known.entry.started_ms != entry.started_ms || known.entry.address != entry.address;
+    const bool was_leaving = !restarted && known.entry.leaving;
+    if(restarted) {
+        known.observed.clear();
+        known.health = {};
+    }
+    std::erase_if(known.observed, [now](const auto& seen) { return now - seen.second.at >= observation_lifetime; });
+    known.entry = entry;
+    known.entry.leaving = entry.leaving || was_leaving;
+    known.missing_until.reset();
+    return known.entry.leaving && !was_leaving;
+}
+
+bool upstream_table::remove(std::string_view id, core::time_point now) {
+    const auto found = this->upstreams.find(id);
+    if(found == this->upstreams.end()) {
+        return false;
+    }
+    if(now < this->grace_until && !found->second.entry.leaving) {
+        found->second.missing_until = this->grace_until;
+        return false;
+    }
+    this->upstreams.erase(found);
+    return true;
+}
+
+bool upstream_table::mark_leaving(std::string_view id, std::uint64_t started_ms) {
+    auto* known = this->find(id);
+    if(known == nullptr || known->entry.started_ms != started_ms || known->entry.leaving) {
+        return false;
+    }
+    known->entry.leaving = true;
+    return true;
+}
+
+void upstream_table::store_returned(core::time_point now) noexcept {
+    this->grace_until = now + lapsed_entry_grace;
+}
+
+std::vector<std::string> upstream_table::expire(core::time_point now) {
+    std::vector<std::string> gone{};
+    for(auto entry = this->upstreams.begin(); entry != this->upstreams.end();) {
+        if(entry->second.missing_until && *entry->second.missing_until <= now) {
+            gone.push_back(entry->first);
+            entry = this->upstreams.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    return gone;
+}
+
+known_upstream* upstream_table::find(std::string_view id) {
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? nullptr : &found->second;
+}
+
+const known_upstream* upstream_table::find(std::string_view id) const {
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? nullptr : &found->second;
+}
+
+std::vector<known_upstream*> upstream_table::usable(std::string_view service) {
+    std::vector<known_upstream*> found{};
+    for(auto& [id, known] : this->upstreams) {
+        if(known.entry.service == service && !known.entry.leaving) {
+            found.push_back(&known);
+        }
+    }
+    return found;
+}
+
+void upstream_table::observe_adapter(std::string_view id, std::string_view model, std::string_view adapter,
+    bool resident, std::uint64_t version, core::time_point now) {
+    if(auto* known = this->find(id)) {
+        known->observed[adapter_key(model, adapter)] = {.resident = resident, .version = version, .at = now};
+    }
+}
+
+void upstream_table::observe_model_missing(std::string_view id, std::string_view model) {
+    if(auto* known = this->find(id)) {
+        known->entry.models.erase(std::string{model});
+    }
+}
+
+} // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -1,9 +1,15 @@
+#include <algorithm>
+#include <atomic>
+#include <charconv>
 #include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <string_view>
 #include <utility>
 
+#include <netinet/tcp.h>
+
 #include <lagoonsaddle/http/client.hpp>
 #include <lagoonsaddle/http/internal_beast.hpp>
 
@@ -70,32 +76,49 @@
         return this->settings;
     }
 
-    [[nodiscard]] std::optional<tcp::socket> take(const core::endpoint& target) {
+    [[nodiscard]] std::optional<tcp::socket> take(
+        const core::endpoint& target, std::chrono::milliseconds reuse_within) {
         const std::lock_guard lock{this->mutex};
         const auto found = this->idle.find(target);
         while(found != this->idle.end() && !found->second.empty()) {
             auto entry = std::move(found->second.back());
             found->second.pop_back();
-            if(entry.since + this->settings.idle_timeout > idle_clock::now() && is_quiet(entry.socket)) {
+            const auto now = idle_clock::now();
+            if(now < entry.expires && now - entry.since < reuse_within && is_quiet(entry.socket)) {
                 return std::move(entry.socket);
             }
         }
         return std::nullopt;
     }
 
-    void give(const core::endpoint& target, tcp::socket socket) {
+    /*! @brief Keeps a connection that the peer keeps for `peer_timeout`, or for an unstated time. */
+    void give(
+        const core::endpoint& target, tcp::socket socket, std::optional<std::chrono::milliseconds> peer_timeout) {
+        const auto now = idle_clock::now();
+        // Half of the peer's time: a request that crosses the peer's close would be lost.
+        const auto keep = peer_timeout ? std::min(this->settings.idle_timeout, *peer_timeout / 2)
+                                       : this->settings.idle_timeout;
         const std::lock_guard lock{this->mutex};
         auto& entries = this->idle[target];
         if(entries.size() >= this->settings.idle_connections_per_endpoint) {
             entries.pop_front();
         }
-        entries.push_back(entry{.socket = std::move(socket), .since = idle_clock::now()});
+        entries.push_back(entry{.socket = std::move(socket), .since = now, .expires = now + keep});
+    }
+
+    void count_connection() noexcept {
+        this->made.fetch_add(1u, std::memory_order_relaxed);
+    }
+
+    [[nodiscard]] std::uint64_t connections_made() const noexcept {
+        return this->made.load(std::memory_order_relaxed);
     }
 
 private:
     struct entry {
         tcp::socket socket;
         idle_clock::time_point since;
+        idle_clock::time_point expires;
     };
 
     // A readable idle connection was closed by the peer or holds bytes that belong to no request.
@@ -108,6 +131,7 @@
     }
 
     client_options settings;
+    std::atomic<std::uint64_t> made{0u};
     std::mutex mutex{};
     std::map<core::endpoint, std::deque<entry>> idle{};
 };
@@ -122,8 +146,9 @@
 
     ~stream() override {
         this->guard.stop();
+        this->detach();
         if(this->reusable()) {
-            this->connections->give(this->target, std::move(this->socket));
+            this->connections->give(this->target, std::move(this->socket), keep_alive_timeout(this->head));
         }
     }
 
@@ -143,9 +168,16 @@
         this->guard.start(timeout);
     }
 
-    asio::awaitable<core::result<void>> connect(bool allow_reuse) {
-        if(allow_reuse) {
-            if(auto idle = this->connections->take(this->target); idle.has_value()) {
+    /*! @brief Lets a control close this stream until the stream ends. */
+    void attach(std::shared_ptr<exchange_control> value, std::function<void()> exchange_control::*hook) {
+        this->control = std::move(value);
+        this->control_hook = hook;
+        (*this->control).*hook = [this] { this->close(); };
+    }
+
+    asio::awaitable<core::result<void>> connect(std::chrono::milliseconds reuse_within) {
+        if(reuse_within.count() > 0) {
+            if(auto idle = this->connections->take(this->target, reuse_within); idle.has_value()) {
                 this->socket = std::move(*idle);
                 this->from_pool = true;
                 co_return core::result<void>{};
@@ -166,32 +198,39 @@
                 core::reason::connection_refused, "cannot connect to " + core::to_string(this->target) + ": " +
                                                       (failure ? failure.message() : std::string{"timed out"}));
         }
+        this->connections->count_connection();
         this->socket.set_option(tcp::no_delay{true}, failure);
+        if(const auto timeout = this->connections->options().unacknowledged_timeout; timeout.count() > 0) {
+            this->socket.set_option(user_timeout{static_cast<int>(timeout.count())}, failure);
+        }
         co_return core::result<void>{};
     }
 
-    asio::awaitable<core::result<void>> exchange_heads(const request& message) {
-        beast_http::request<beast_http::string_body> outgoing{
-            beast_http::string_to_verb(message.method), beast_view(message.target), 11u};
+    asio::awaitable<core::result<void>> exchange_heads(const request& message, const exchange_options& options) {
+        const auto outgoing = std::make_shared<beast_http::request<beast_http::string_body>>(
+            beast_http::string_to_verb(message.method), beast_view(message.target), 11u);
         for(const auto& [name, value] : message.headers) {
-            outgoing.set(beast_view(name), beast_view(value));
+            outgoing->set(beast_view(name), beast_view(value));
+        }
+        if(!options.keep_host || !message.headers.find("host")) {
+            outgoing->set(beast_http::field::host, core::to_string(this->target));
         }
-        outgoing.set(beast_http::field::host, core::to_string(this->target));
-        outgoing.body() = message.body;
-        outgoing.prepare_payload();
+        outgoing->body() = message.body;
+        outgoing->prepare_payload();
 
         boost::system::error_code failure{};
-        co_await beast_http::async_write(this->socket, outgoing, asio::redirect_error(asio::use_awaitable, failure));
+        if(message.body.size() <= small_body) {
+            co_await beast_http::async_write(
+                this->socket, *outgoing, asio::redirect_error(asio::use_awaitable, failure));
+        } else {
+            this->write_beside(outgoing);
+        }
         if(!failure) {
-            this->parser.emplace();
-            this->parser->body_limit(this->connections->options().body_limit_bytes);
-            co_await beast_http::async_read_header(
-                this->socket, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
+            failure = co_await this->read_head(options);
         }
         if(failure) {
             co_return this->lost(failure);
         }
-        this->head = copy_fields(this->parser->get());
         co_return core::result<void>{};
     }
 
@@ -220,7 +259,79 @@
     }
 
 private:
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
     static constexpr std::size_t read_size{8u * 1024u};
+    /*! @brief A body up to this size is written before the response is read. A peer that responds before it has read a
+     * larger one would block the writer. */
+    static constexpr std::size_t small_body{4u * 1024u};
+    /*! @brief Heads of other requests that are skipped on one connection. */
+    static constexpr unsigned foreign_heads_max{2u};
+
+    /*! @brief Outlives the stream while a body is written beside the reader. */
+    struct pending_write {
+        bool done{false};
+        bool failed{false};
+    };
+
+    void detach() noexcept {
+        if(this->control) {
+            (*this->control).*(this->control_hook) = nullptr;
+        }
+    }
+
+    void write_beside(std::shared_ptr<beast_http::request<beast_http::string_body>> outgoing) {
+        this->writing = std::make_shared<pending_write>();
+        beast_http::async_write(this->socket, *outgoing,
+            [outgoing, state = this->writing](const boost::system::error_code& failure, std::size_t) {
+                state->done = true;
+                state->failed = static_cast<bool>(failure);
+            });
+    }
+
+    /*! @brief Reads response heads until one belongs to the request. */
+    asio::awaitable<boost::system::error_code> read_head(const exchange_options& options) {
+        for(unsigned skipped{}; skipped <= foreign_heads_max; ++skipped) {
+            this->parser.emplace();
+            this->parser->body_limit(this->connections->options().body_limit_bytes);
+            boost::system::error_code failure{};
+            co_await beast_http::async_read_header(
+                this->socket, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
+            if(failure) {
+                co_return failure;
+            }
+            this->head = copy_fields(this->parser->get());
+            if(this->status() / 100u == 1u) {
+                continue;
+            }
+            if(!options.accepts || options.accepts(this->status(), this->head)) {
+                co_return boost::system::error_code{};
+            }
+            while(!this->parser->is_done()) {
+                if(const auto piece = co_await this->read(); !piece) {
+                    co_return asio::error::make_error_code(asio::error::connection_aborted);
+                }
+            }
+        }
+        co_return asio::error::make_error_code(asio::error::connection_aborted);
+    }
+
+    /*! @brief Returns the idle time that the peer states, such as `timeout=5`. */
+    [[nodiscard]] static std::optional<std::chrono::milliseconds> keep_alive_timeout(const fields& headers) {
+        constexpr std::string_view key{"timeout="};
+        const auto value = headers.find("keep-alive");
+        const auto start = value ? value->find(key) : std::string_view::npos;
+        if(start == std::string_view::npos) {
+            return std::nullopt;
+        }
+        const auto digits = value->substr(start + key.size());
+        unsigned seconds{};
+        const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+        if(parsed.ec != std::errc{}) {
+            return std::nullopt;
+        }
+        return std::chrono::seconds{seconds};
+    }
 
     [[nodiscard]] tl::unexpected<core::error> lost(const boost::system::error_code& failure) {
         this->failed = true;
@@ -231,7 +342,8 @@
 
     [[nodiscard]] bool reusable() const {
         return !this->failed && !this->guard.expired() && this->socket.is_open() && this->parser.has_value() &&
-               this->parser->is_done() && this->parser->keep_alive() && this->buffer.size() == 0u;
+               this->parser->is_done() && this->parser->keep_alive() && this->buffer.size() == 0u &&
+               (!this->writing || (this->writing->done && !this->writing->failed));
     }
 
     std::shared_ptr<pool> connections;
@@ -241,6 +353,9 @@
     beast::flat_buffer buffer{};
     std::optional<beast_http::response_parser<beast_http::buffer_body>> parser{};
     fields head{};
+    std::shared_ptr<pending_write> writing{};
+    std::shared_ptr<exchange_control> control{};
+    std::function<void()> exchange_control::*control_hook{};
     bool from_pool{false};
     bool failed{false};
 };
@@ -249,18 +364,41 @@
 
 client::~client() = default;
 
+void exchange_control::cancel() noexcept {
+    this->stopped = true;
+    if(this->close) {
+        this->close();
+    }
+}
+
+std::uint64_t client::connections_made() const noexcept {
+    return this->connections->connections_made();
+}
+
 asio::awaitable<core::result<std::unique_ptr<response_stream>>> client::open(
     core::endpoint target, request message, std::chrono::milliseconds timeout) {
+    exchange_options options{};
+    options.timeout = timeout;
+    return this->open(std::move(target), std::move(message), std::move(options));
+}
+
+asio::awaitable<core::result<std::unique_ptr<response_stream>>> client::open(
+    core::endpoint target, request message, exchange_options options) {
     const auto executor = co_await asio::this_coro::executor;
-    // A safe request is sent again when a reused connection turns out to be closed by the peer.
-    const bool safe = message.method == "GET" || message.method == "HEAD";
-    for(bool allow_reuse{true};; allow_reuse = false) {
+    const bool safe = options.resend_safe && (message.method == "GET" || message.method == "HEAD");
+    for(auto reuse_within = options.reuse_within;; reuse_within = {}) {
         auto opened = std::make_unique<stream>(this->connections, target, executor);
-        opened->start_timer(timeout);
-        if(const auto connected = co_await opened->connect(allow_reuse); !connected) {
+        if(options.control) {
+            if(options.control->cancelled()) {
+                co_return core::fail(core::reason::cancelled, "the exchange was cancelled before it was sent");
+            }
+            opened->attach(options.control, &exchange_control::close);
+        }
+        opened->start_timer(options.timeout);
+        if(const auto connected = co_await opened->connect(reuse_within); !connected) {
             co_return tl::make_unexpected(connected.error());
         }
-        const auto exchanged = co_await opened->exchange_heads(message);
+        const auto exchanged = co_await opened->exchange_heads(message, options);
         if(exchanged) {
             co_return std::unique_ptr<response_stream>{std::move(opened)};
         }
--- a/src/lagoonsaddle/http/client.hpp
+++ b/src/lagoonsaddle/http/client.hpp
@@ -3,6 +3,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -21,6 +23,41 @@
     std::chrono::milliseconds idle_timeout{20'000};
     std::size_t idle_connections_per_endpoint{256u};
     std::size_t body_limit_bytes{8u * 1024u * 1024u};
+    /*! @brief Time after which unacknowledged data ends a connection; zero leaves it to the system. */
+    std::chrono::milliseconds unacknowledged_timeout{0};
+};
+
+/*! @brief Lets another coroutine on the same executor end an exchange, from its start on. Not thread-safe. */
+class exchange_control {
+public:
+    /*! @brief Closes the connection of the exchange, now or as soon as it is made. The exchange ends with an error. */
+    void cancel() noexcept;
+
+    [[nodiscard]] bool cancelled() const noexcept {
+        return this->stopped;
+    }
+
+private:
+    friend class client;
+
+    std::function<void()> close{};
+    bool stopped{false};
+};
+
+/*! @brief Options of one exchange. */
+struct exchange_options {
+    /*! @brief Time for the whole exchange, body included. */
+    std::chrono::milliseconds timeout{30'000};
+    /*! @brief Longest idle time of a connection that may be reused; zero makes a new connection. */
+    std::chrono::milliseconds reuse_within{std::chrono::hours{1}};
+    /*! @brief Sends a safe request again when a reused connection turns out to be closed by the peer. */
+    bool resend_safe{true};
+    /*! @brief Keeps the `host` field of the request instead of naming the target. */
+    bool keep_host{false};
+    /*! @brief Tells whether a response head belongs to the request; others are skipped. Empty accepts any head. */
+    std::function<bool(unsigned status, const fields& headers)> accepts{};
+    /*! @brief Receives the means to cancel the exchange; may be null. */
+    std::shared_ptr<exchange_control> control{};
 };
 
 /*! @brief Response whose body is read piece by piece. Not thread-safe. Destroying it closes the connection. */
@@ -76,6 +113,19 @@
     [[nodiscard]] boost::asio::awaitable<core::result<std::unique_ptr<response_stream>>> open(
         core::endpoint target, request message, std::chrono::milliseconds timeout);
 
+    /**
+     * @brief Sends a request and returns after the response head.
+     * @param target Where to send it.
+     * @param message The request.
+     * @param options Options of the exchange.
+     * @return The stream, or an error with a verdict.
+     */
+    [[nodiscard]] boost::asio::awaitable<core::result<std::unique_ptr<response_stream>>> open(
+        core::endpoint target, request message, exchange_options options);
+
+    /*! @brief Returns the number of connections made since construction. */
+    [[nodiscard]] std::uint64_t connections_made() const noexcept;
+
 private:
     class stream;
     class pool;
--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -22,6 +22,7 @@
     tcp::acceptor acceptor;
     std::uint16_t bound_port{};
     std::atomic<bool> closing{false};
+    std::atomic<bool> draining{false};
     std::atomic<std::size_t> active{0u};
 
     std::mutex mutex{};
@@ -126,7 +127,7 @@
 
 private:
     [[nodiscard]] bool keeps_alive() const noexcept {
-        return this->keep_alive && !this->owner->closing.load();
+        return this->keep_alive && !this->owner->closing.load() && !this->owner->draining.load();
     }
 
     core::result<void> outcome(const boost::system::error_code& failure) {
@@ -181,8 +182,16 @@
             this->buffer.commit(count);
         }
         this->stream.expires_after(this->owner->options.request_timeout);
-        co_await beast_http::async_read(
+        co_await beast_http::async_read_header(
             this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+        if(!failure && beast::iequals(parser.get()[beast_http::field::expect], "100-continue")) {
+            co_await asio::async_write(this->stream, asio::buffer(continue_head.data(), continue_head.size()),
+                asio::redirect_error(asio::use_awaitable, failure));
+        }
+        if(!failure) {
+            co_await beast_http::async_read(
+                this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+        }
         this->stream.expires_never();
         if(failure) {
             co_await this->reject(failure);
@@ -253,6 +262,7 @@
         }
     }
 
+    static constexpr std::string_view continue_head{"HTTP/1.1 100 Continue\r\n\r\n"};
     static constexpr std::size_t read_size{4'096u};
     static constexpr std::size_t reject_drain_limit{64u * 1024u * 1024u};
     static constexpr std::chrono::milliseconds reject_linger{1'000};
@@ -348,6 +358,10 @@
     return this->shared->active.load();
 }
 
+void server::begin_drain() noexcept {
+    this->shared->draining.store(true);
+}
+
 void server::stop_accepting() {
     if(!this->shared->closing.exchange(true)) {
         asio::post(this->shared->acceptor.get_executor(), [shared = this->shared] {
--- a/src/lagoonsaddle/http/server.hpp
+++ b/src/lagoonsaddle/http/server.hpp
@@ -122,6 +122,9 @@
     /*! @brief Returns the number of requests being handled. */
     [[nodiscard]] std::size_t active_requests() const noexcept;
 
+    /*! @brief From now on responses close their connections. New connections are still accepted. */
+    void begin_drain() noexcept;
+
     /*! @brief Stops accepting connections; responses from now on close theirs. Requests in flight go on. */
     void stop_accepting();
 
--- a/src/lagoonsaddle/wire/frame.hpp
+++ b/src/lagoonsaddle/wire/frame.hpp
@@ -32,7 +32,10 @@
     explain_reply = 16,
     ownership_get = 17,
     ownership_reply = 18,
-    quarantine_update = 19
+    quarantine_update = 19,
+    adapter_wanted = 20,
+    adapter_ready = 21,
+    adapter_usage = 22
 };
 
 /*! @brief One message between nodes. */
--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -206,6 +206,42 @@
     MSGPACK_DEFINE_ARRAY(digest, crashes, cleared, until_unix_ms)
 };
 
+/*! @brief Asks the node that orders an upstream's loads to make an adapter resident there. */
+struct adapter_wanted {
+    std::string upstream{};
+    std::string model{};
+    std::string adapter{};
+    /*! @brief Oldest version that may serve; 0 for any. */
+    std::uint64_t version_min{};
+    std::uint64_t timeout_ms{};
+
+    MSGPACK_DEFINE_ARRAY(upstream, model, adapter, version_min, timeout_ms)
+};
+
+/*! @brief Answer to `adapter_wanted`. */
+struct adapter_ready {
+    std::uint64_t version{};
+    std::optional<wire_error> failure{};
+
+    MSGPACK_DEFINE_ARRAY(version, failure)
+};
+
+/*! @brief Use of one adapter on one upstream by the requests of one node. */
+struct adapter_use {
+    std::string upstream{};
+    std::string model{};
+    std::string adapter{};
+
+    MSGPACK_DEFINE_ARRAY(upstream, model, adapter)
+};
+
+/*! @brief Adapters that a node's requests have used since its last message, for the choice of evictions. */
+struct adapter_usage {
+    std::vector<adapter_use> uses{};
+
+    MSGPACK_DEFINE_ARRAY(uses)
+};
+
 /*! @brief Asks a node for the explain record of a request. */
 struct explain_get {
     std::string request_id{};
