--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -106,11 +106,9 @@
 
 forwarder::~forwarder() = default;
 
-std::size_t forwarder::live_nodes(bool own_zone) const {
+std::size_t forwarder::live_nodes() const {
     const auto members = this->context.membership.members();
-    const auto count = std::ranges::count_if(*members, [&](const fleet::member& other) {
-        return other.is_live() && (!own_zone || other.info.availability_zone == this->context.availability_zone);
-    });
+    const auto count = std::ranges::count_if(*members, &fleet::member::is_live);
     return std::max<std::size_t>(static_cast<std::size_t>(count), 1u);
 }
 
@@ -204,7 +202,7 @@
         .adapter = state.terms.adapter,
         .version_min = this->oldest_version(state),
         .excluded = &state.excluded,
-        .nodes_in_zone = this->live_nodes(true)};
+        .nodes = this->live_nodes()};
     wanted.can_load = [this](std::string_view zone) { return this->context.placement.can_load(zone); };
     const auto choice = this->context.selector.choose(this->context.upstreams, wanted, now);
     if(!choice) {
@@ -216,7 +214,7 @@
     }
     // The first send is free; later ones draw on the budget of the fleet.
     if(state.sends > 0u &&
-        !this->context.budget.take(state.service, this->live_nodes(false), this->context.time.now())) {
+        !this->context.budget.take(state.service, this->live_nodes(), this->context.time.now())) {
         state.path += ";no_budget";
         co_return step::stop;
     }
@@ -288,7 +286,7 @@
     ++known->in_flight;
     known->pending_tokens += state.terms.prompt_tokens;
     if(!state.terms.adapter.empty()) {
-        this->context.placement.record_use(upstream, state.terms.model, state.terms.adapter);
+        this->context.placement.begin_use(upstream, state.terms.model, state.terms.adapter);
     }
     const auto address = known->entry.address;
     auto opened = co_await this->context.client.open(address, std::move(outgoing), std::move(options));
@@ -302,6 +300,9 @@
     } else {
         next = this->failed(state, upstream, opened.error());
     }
+    if(!state.terms.adapter.empty()) {
+        this->context.placement.end_use(upstream, state.terms.model, state.terms.adapter);
+    }
     if(known = this->context.upstreams.find(upstream); known != nullptr && known->in_flight > 0u) {
         --known->in_flight;
     }
@@ -410,7 +411,7 @@
     state.verdict = core::verdict::ran;
     const bool again = answer.status() >= 500u && state.target->repeat == repeatability::idempotent &&
                        state.runs < state.target->attempts_max && now + send_margin < state.deadline;
-    if(again && this->context.budget.take(state.service, this->live_nodes(false), now)) {
+    if(again && this->context.budget.take(state.service, this->live_nodes(), now)) {
         state.excluded.insert(upstream);
         // This retry is paid for; the next send is not charged again.
         state.sends = 0u;
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -40,7 +40,6 @@
     gateway::membership_service& membership;
     operate::metrics_registry& metrics;
     std::string node{};
-    std::string availability_zone{};
 };
 
 /**
@@ -75,7 +74,7 @@
         exchange_state& state, unsigned status, core::error failure);
     [[nodiscard]] boost::asio::awaitable<void> give_up(exchange_state& state);
     [[nodiscard]] std::uint64_t oldest_version(const exchange_state& state) const;
-    [[nodiscard]] std::size_t live_nodes(bool own_zone) const;
+    [[nodiscard]] std::size_t live_nodes() const;
     void log(const exchange_state& state);
 
     forwarder_context context;
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -32,6 +32,9 @@
 /*! @brief Time for the way to the lease holder and back, beyond the time that the request may wait. */
 constexpr std::chrono::milliseconds peer_margin{100};
 
+/*! @brief Expiry of a timer that only waits to be cancelled. */
+constexpr std::chrono::hours core_clock_end{24 * 365};
+
 [[nodiscard]] asio::awaitable<void> sleep(std::chrono::milliseconds time) {
     asio::steady_timer timer{co_await asio::this_coro::executor, time};
     boost::system::error_code ignored{};
@@ -106,6 +109,7 @@
     auto state = std::make_shared<driver>(
         driver{.ledger = slot_ledger{slot_ledger_options{.slots = group->adapter_slots}},
             .wake = asio::steady_timer{this->context.io},
+            .progress = asio::steady_timer{this->context.io, core_clock_end},
             .started_ms = this->context.upstreams.find(upstream)->entry.started_ms});
     for(const auto& [key, value] : this->versions) {
         const auto slash = key.find('/');
@@ -263,42 +267,58 @@
     }
 }
 
-void placement_service::record_use(std::string_view upstream, std::string_view model, std::string_view adapter) {
-    const auto* known = this->context.upstreams.find(upstream);
-    if(known == nullptr) {
-        return;
+void placement_service::touch(const wire::adapter_use& use) {
+    if(const auto found = this->drivers.find(use.upstream); found != this->drivers.end()) {
+        found->second->ledger.touch(use.model, use.adapter, this->context.time.now());
     }
-    if(const auto found = this->drivers.find(upstream); found != this->drivers.end()) {
-        found->second->ledger.touch(model, adapter, this->context.time.now());
-        return;
+}
+
+void placement_service::begin_use(std::string_view upstream, std::string_view model, std::string_view adapter) {
+    ++this->active_uses[use_key{upstream, model, adapter}];
+    this->touch({.upstream = std::string{upstream}, .model = std::string{model}, .adapter = std::string{adapter}});
+}
+
+void placement_service::end_use(std::string_view upstream, std::string_view model, std::string_view adapter) {
+    const use_key key{upstream, model, adapter};
+    if(const auto found = this->active_uses.find(key); found != this->active_uses.end() && --found->second == 0u) {
+        this->active_uses.erase(found);
     }
-    this->uses[known->entry.availability_zone].emplace(upstream, model, adapter);
+    this->recent_uses.insert(key);
+    this->touch({.upstream = std::string{upstream}, .model = std::string{model}, .adapter = std::string{adapter}});
 }
 
 void placement_service::receive_usage(const wire::adapter_usage& usage) {
-    const auto now = this->context.time.now();
     for(const auto& use : usage.uses) {
-        if(const auto found = this->drivers.find(use.upstream); found != this->drivers.end()) {
-            found->second->ledger.touch(use.model, use.adapter, now);
-        }
+        this->touch(use);
     }
 }
 
 asio::awaitable<void> placement_service::send_usage() {
     while(!this->releasing) {
         co_await sleep(usage_interval);
-        auto pending = std::exchange(this->uses, {});
-        for(auto& [zone, entries] : pending) {
-            const auto& lease = this->tracker(zone).current();
-            const auto peer = lease ? this->context.peers.find(lease->lease.holder) : nullptr;
-            if(!peer) {
+        auto pending = std::exchange(this->recent_uses, {});
+        for(const auto& [key, count] : this->active_uses) {
+            pending.insert(key);
+        }
+        std::map<std::string, wire::adapter_usage> messages{};
+        for(const auto& [upstream, model, adapter] : pending) {
+            wire::adapter_use use{.upstream = upstream, .model = model, .adapter = adapter};
+            const auto* known = this->context.upstreams.find(upstream);
+            if(known == nullptr) {
                 continue;
             }
-            wire::adapter_usage message{};
-            for(const auto& [upstream, model, adapter] : entries) {
-                message.uses.push_back({.upstream = upstream, .model = model, .adapter = adapter});
+            const auto& lease = this->tracker(known->entry.availability_zone);
+            if(lease.is_holder()) {
+                this->touch(use);
+            } else if(lease.current()) {
+                messages[lease.current()->lease.holder].uses.push_back(std::move(use));
+            }
+        }
+        for(const auto& [holder, message] : messages) {
+            if(const auto peer = this->context.peers.find(holder)) {
+                auto body = wire::pack(message);
+                co_await peer->notify(wire::message_type::adapter_usage, std::move(body));
             }
-            co_await peer->notify(wire::message_type::adapter_usage, wire::pack(message));
         }
     }
 }
@@ -339,7 +359,16 @@
         co_return core::fail(core::reason::lease_expired, "this node does not order loads of the upstream");
     }
     const auto state = this->driver_of(wanted.upstream);
-    state->ledger.touch(wanted.model, wanted.adapter, begin);
+    if(state->ledger.want(wanted.model, wanted.adapter, wanted.version_min, begin)) {
+        state->wake.cancel();
+    }
+    const auto result = co_await this->wait_resident(wanted, state, deadline);
+    state->ledger.unwant(wanted.model, wanted.adapter);
+    co_return result;
+}
+
+asio::awaitable<core::result<std::uint64_t>> placement_service::wait_resident(
+    const wire::adapter_wanted& wanted, std::shared_ptr<driver> state, core::time_point deadline) {
     while(true) {
         const auto now = this->context.time.now();
         if(const auto version = state->ledger.resident(wanted.model, wanted.adapter);
@@ -352,12 +381,18 @@
         if(now >= deadline) {
             co_return core::fail(core::reason::timeout, "the adapter was not loaded in time");
         }
-        if(!state->ledger.can_place(now)) {
+        if(!state->ledger.can_place(wanted.model, wanted.adapter, now)) {
             co_return core::fail(core::reason::overloaded, "all adapter places of the upstream are in use");
         }
-        state->ledger.want(wanted.model, wanted.adapter, wanted.version_min, now);
-        state->wake.cancel();
-        co_await sleep(std::chrono::milliseconds{5});
+        // Without progress, the deadline and the loss of the lease are looked at again after the interval.
+        asio::steady_timer limit{co_await asio::this_coro::executor, report_interval};
+        limit.async_wait([state](const boost::system::error_code& failure) {
+            if(!failure) {
+                state->progress.cancel();
+            }
+        });
+        boost::system::error_code ignored{};
+        co_await state->progress.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 }
 
@@ -371,18 +406,10 @@
     const auto* known = this->context.upstreams.find(upstream);
     const auto asked = this->context.time.now();
     const auto report = co_await this->context.control.report(known->entry.address);
-    const auto now = this->context.time.now();
-    if(!report) {
-        co_return false;
-    }
-    // A report that began before an order was accepted would take its effect back.
-    const bool recent = state.reported && now - *state.reported < idle_interval;
-    if(recent && report->orders_accepted < state.ledger.orders_accepted()) {
-        co_return false;
-    }
     state.reported = asked;
-    state.ledger.synchronize(*report, now);
-    co_return true;
+    const bool taken = report && state.ledger.synchronize(*report, asked, this->context.time.now());
+    state.progress.cancel();
+    co_return taken;
 }
 
 asio::awaitable<bool> placement_service::load_missing_model(const std::string& upstream, driver& state) {
@@ -436,6 +463,7 @@
     this->context.log.write(line);
     if(!outcome) {
         state.ledger.invalidate();
+        state.progress.cancel();
         co_await this->pause(state, failed_order_delay);
         co_return;
     }
@@ -448,6 +476,7 @@
         co_return;
     }
     state.ledger.record(order, *outcome, now);
+    state.progress.cancel();
     if(!order.load && (*outcome == order_outcome::accepted || *outcome == order_outcome::done)) {
         this->context.upstreams.observe_adapter(upstream, order.model, order.adapter, false, 0u, now);
     }
@@ -474,8 +503,8 @@
         const auto now = this->context.time.now();
         if(const auto order = state->ledger.next(now)) {
             co_await this->give(upstream, *state, *order);
-        } else if(state->ledger.loading()) {
-            const auto expected = state->ledger.oldest_load() + this->load_time + report_lag;
+        } else if(state->ledger.pending()) {
+            const auto expected = state->ledger.oldest_load().value_or(now - this->load_time) + this->load_time + report_lag;
             const auto wait = std::max<core::duration>(expected - now, report_interval);
             co_await this->pause(*state, std::min<core::duration>(wait, report_interval * 4));
             if(this->drives(upstream) && this->context.time.now() - state->reported.value_or(now) >= report_interval) {
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -80,8 +80,9 @@
     /*! @brief Tells whether some live node can order loads in an availability zone. */
     [[nodiscard]] bool can_load(std::string_view zone) const;
 
-    /*! @brief Notes that a request uses an adapter. */
-    void record_use(std::string_view upstream, std::string_view model, std::string_view adapter);
+    /*! @brief Notes that a request begins to use an adapter; `end_use` has to follow. */
+    void begin_use(std::string_view upstream, std::string_view model, std::string_view adapter);
+    void end_use(std::string_view upstream, std::string_view model, std::string_view adapter);
 
     /*! @brief Takes over the uses of a peer. */
     void receive_usage(const wire::adapter_usage& usage);
@@ -105,7 +106,10 @@
 private:
     struct driver {
         slot_ledger ledger;
+        /*! @brief Wakes the driver when something is wanted. */
         boost::asio::steady_timer wake;
+        /*! @brief Wakes the requests that wait for an adapter when the ledger changes. */
+        boost::asio::steady_timer progress;
         std::uint64_t started_ms{};
         /*! @brief When the last report that was taken over was asked for. */
         std::optional<core::time_point> reported{};
@@ -114,10 +118,13 @@
     [[nodiscard]] boost::asio::awaitable<void> keep_lease(std::string zone);
     [[nodiscard]] boost::asio::awaitable<void> drive(std::string upstream);
     [[nodiscard]] boost::asio::awaitable<void> send_usage();
+    void touch(const wire::adapter_use& use);
     [[nodiscard]] boost::asio::awaitable<bool> load_missing_model(const std::string& upstream, driver& state);
     [[nodiscard]] boost::asio::awaitable<void> give(
         const std::string& upstream, driver& state, const ledger_order& order);
     [[nodiscard]] boost::asio::awaitable<bool> synchronize(const std::string& upstream, driver& state);
+    [[nodiscard]] boost::asio::awaitable<core::result<std::uint64_t>> wait_resident(
+        const wire::adapter_wanted& wanted, std::shared_ptr<driver> state, core::time_point deadline);
     [[nodiscard]] boost::asio::awaitable<void> pause(driver& state, core::duration time);
 
     [[nodiscard]] lease_tracker& tracker(const std::string& zone);
@@ -134,8 +141,12 @@
     std::map<std::string, lease_tracker, std::less<>> leases{};
     std::map<std::string, std::shared_ptr<driver>, std::less<>> drivers{};
     std::map<std::string, announced, std::less<>> versions{};
-    /*! @brief Uses since the last message, by availability zone. */
-    std::map<std::string, std::set<std::tuple<std::string, std::string, std::string>>, std::less<>> uses{};
+    /*! @brief Upstream, model and adapter of a use. */
+    using use_key = std::tuple<std::string, std::string, std::string>;
+    /*! @brief Uses since the last message. */
+    std::set<use_key> recent_uses{};
+    /*! @brief Requests in progress. */
+    std::map<use_key, unsigned> active_uses{};
     /*! @brief Upstream that loads a base model at present, by availability zone. */
     std::map<std::string, std::string, std::less<>> model_loads{};
     /*! @brief Measured time of an adapter's load. */
--- a/src/lagoonsaddle/edge/slot_ledger.cpp
+++ b/src/lagoonsaddle/edge/slot_ledger.cpp
@@ -18,7 +18,11 @@
 
 } // namespace
 
-void slot_ledger::synchronize(const upstream_report& report, core::time_point now) {
+bool slot_ledger::synchronize(const upstream_report& report, core::time_point asked, core::time_point now) {
+    const bool after_last_order = !this->ordered || asked - *this->ordered >= this->settings.report_lag;
+    if(!after_last_order && report.orders_accepted < this->accepted) {
+        return false;
+    }
     this->known = true;
     this->accepted = report.orders_accepted;
     this->models.clear();
@@ -46,19 +50,24 @@
         arriving.emplace(key, previous == this->coming.end() ? arrival{.version = 0u, .ordered = now} : previous->second);
     }
     this->coming = std::move(arriving);
-    std::erase_if(this->wants, [this](const auto& entry) {
-        const auto found = this->slots.find(entry.first);
-        return found != this->slots.end() && found->second.version >= entry.second.version;
-    });
+    return true;
 }
 
-void slot_ledger::want(std::string_view model, std::string_view adapter, std::uint64_t version, core::time_point now) {
+bool slot_ledger::want(std::string_view model, std::string_view adapter, std::uint64_t version, core::time_point now) {
     const auto key = adapter_key(model, adapter);
     this->uses[key] = now;
     auto [found, added] = this->wants.try_emplace(
         key, wish{.model = std::string{model}, .adapter = std::string{adapter}, .version = version, .first = now});
-    found->second.last = now;
+    ++found->second.waiting;
     found->second.version = std::max(found->second.version, version);
+    return added;
+}
+
+void slot_ledger::unwant(std::string_view model, std::string_view adapter) {
+    const auto found = this->wants.find(adapter_key(model, adapter));
+    if(found != this->wants.end() && --found->second.waiting == 0u) {
+        this->wants.erase(found);
+    }
 }
 
 void slot_ledger::touch(std::string_view model, std::string_view adapter, core::time_point now) {
@@ -69,7 +78,7 @@
     this->uses[key] = now;
     if(this->uses.size() > uses_max) {
         std::erase_if(this->uses, [this, now](const auto& entry) {
-            return !this->slots.contains(entry.first) && now - entry.second > this->settings.want_lifetime;
+            return !this->slots.contains(entry.first) && now - entry.second > this->settings.use_memory;
         });
     }
 }
@@ -88,10 +97,18 @@
     return found->second.version;
 }
 
-core::time_point slot_ledger::oldest_load() const {
-    auto oldest = core::time_point::max();
+bool slot_ledger::pending() const {
+    return !this->coming.empty() || this->unloading();
+}
+
+bool slot_ledger::unloading() const {
+    return std::ranges::any_of(this->slots, [](const auto& entry) { return entry.second.unloading; });
+}
+
+std::optional<core::time_point> slot_ledger::oldest_load() const {
+    std::optional<core::time_point> oldest{};
     for(const auto& [key, entry] : this->coming) {
-        oldest = std::min(oldest, entry.ordered);
+        oldest = std::min(oldest.value_or(entry.ordered), entry.ordered);
     }
     return oldest;
 }
@@ -117,17 +134,15 @@
     return oldest;
 }
 
-bool slot_ledger::can_place(core::time_point now) const {
-    const bool unloading = std::ranges::any_of(this->slots, [](const auto& entry) { return entry.second.unloading; });
-    return !this->known || unloading || this->used_slots() < this->settings.slots || this->victim(now).has_value();
+bool slot_ledger::can_place(std::string_view model, std::string_view adapter, core::time_point now) const {
+    const auto key = adapter_key(model, adapter);
+    return !this->known || this->unloading() || this->slots.contains(key) || this->coming.contains(key) || this->used_slots() < this->settings.slots || this->victim(now).has_value();
 }
 
 std::optional<ledger_order> slot_ledger::next(core::time_point now) {
     if(!this->known) {
         return std::nullopt;
     }
-    std::erase_if(this->wants,
-        [this, now](const auto& entry) { return now - entry.second.last > this->settings.want_lifetime; });
     // A resident adapter with a newer version is replaced in its place.
     if(this->coming.size() < this->settings.loads_max) {
         for(const auto& [key, entry] : this->slots) {
@@ -155,8 +170,7 @@
             .adapter = first->adapter,
             .version = first->version > 0u ? std::optional{first->version} : std::nullopt};
     }
-    const bool unloading = std::ranges::any_of(this->slots, [](const auto& entry) { return entry.second.unloading; });
-    if(const auto oldest = unloading ? std::nullopt : this->victim(now)) {
+    if(const auto oldest = this->unloading() ? std::nullopt : this->victim(now)) {
         auto [model, adapter] = split_key(*oldest);
         return ledger_order{.load = false, .model = std::move(model), .adapter = std::move(adapter)};
     }
@@ -165,6 +179,7 @@
 
 void slot_ledger::record(const ledger_order& order, order_outcome outcome, core::time_point now) {
     const auto key = adapter_key(order.model, order.adapter);
+    this->ordered = now;
     switch(outcome) {
     case order_outcome::accepted:
         ++this->accepted;
@@ -180,7 +195,6 @@
             auto& entry = this->slots[key];
             entry.version = std::max(entry.version, order.version.value_or(0u));
             entry.used = now;
-            this->wants.erase(key);
         } else {
             this->slots.erase(key);
         }
--- a/src/lagoonsaddle/edge/slot_ledger.hpp
+++ b/src/lagoonsaddle/edge/slot_ledger.hpp
@@ -20,9 +20,11 @@
     /*! @brief Adapters that may be on their way to one upstream at a time. */
     std::size_t loads_max{4u};
     /*! @brief Time without a request after which an adapter may be unloaded. */
-    core::duration idle_min{std::chrono::milliseconds{400}};
-    /*! @brief Time after which a wanted adapter that nobody asks for again is forgotten. */
-    core::duration want_lifetime{std::chrono::seconds{3}};
+    core::duration idle_min{std::chrono::milliseconds{1'200}};
+    /*! @brief Time for which the last use of an adapter that is not resident is remembered. */
+    core::duration use_memory{std::chrono::seconds{5}};
+    /*! @brief Oldest state that a report may describe. */
+    core::duration report_lag{std::chrono::milliseconds{400}};
 };
 
 /*! @brief An order that the ledger asks for. */
@@ -44,8 +46,14 @@
 public:
     explicit slot_ledger(slot_ledger_options options) : settings{options} {}
 
-    /*! @brief Takes over the state that the upstream reports. */
-    void synchronize(const upstream_report& report, core::time_point now);
+    /**
+     * @brief Takes over the state that the upstream reports, unless it may be older than the last order.
+     * @param report The report.
+     * @param asked When it was asked for.
+     * @param now Current time.
+     * @return True when it was taken over.
+     */
+    bool synchronize(const upstream_report& report, core::time_point asked, core::time_point now);
 
     [[nodiscard]] bool synchronized() const noexcept {
         return this->known;
@@ -61,8 +69,14 @@
         return this->accepted;
     }
 
-    /*! @brief Notes that requests wait for an adapter. */
-    void want(std::string_view model, std::string_view adapter, std::uint64_t version, core::time_point now);
+    /**
+     * @brief Notes that one more request waits for an adapter; `unwant` has to follow.
+     * @return True when none waited for it before.
+     */
+    bool want(std::string_view model, std::string_view adapter, std::uint64_t version, core::time_point now);
+
+    /*! @brief Notes that one request less waits for an adapter. Without any, it is not loaded. */
+    void unwant(std::string_view model, std::string_view adapter);
 
     /*! @brief Notes that requests use an adapter. */
     void touch(std::string_view model, std::string_view adapter, core::time_point now);
@@ -73,13 +87,11 @@
     /*! @brief Returns the version of a resident adapter, or nothing. */
     [[nodiscard]] std::optional<std::uint64_t> resident(std::string_view model, std::string_view adapter) const;
 
-    /*! @brief Returns whether adapters are on their way, so that the upstream has to be asked again. */
-    [[nodiscard]] bool loading() const noexcept {
-        return !this->coming.empty();
-    }
+    /*! @brief Returns whether loads or evictions are on their way, so that the upstream has to be asked again. */
+    [[nodiscard]] bool pending() const;
 
-    /*! @brief Returns the time at which the oldest load on its way was ordered. */
-    [[nodiscard]] core::time_point oldest_load() const;
+    /*! @brief Returns the time at which the oldest load on its way was ordered, or nothing. */
+    [[nodiscard]] std::optional<core::time_point> oldest_load() const;
 
     [[nodiscard]] bool holds_model(std::string_view model) const {
         return this->models.contains(std::string{model});
@@ -90,8 +102,8 @@
         return !this->wants.empty();
     }
 
-    /*! @brief Returns whether a wanted adapter can be loaded or is on its way, at once or after an eviction. */
-    [[nodiscard]] bool can_place(core::time_point now) const;
+    /*! @brief Returns whether an adapter is held, on its way, or can be loaded, at once or after an eviction. */
+    [[nodiscard]] bool can_place(std::string_view model, std::string_view adapter, core::time_point now) const;
 
     /**
      * @brief Chooses the next order.
@@ -120,7 +132,7 @@
         std::string adapter{};
         std::uint64_t version{};
         core::time_point first{};
-        core::time_point last{};
+        unsigned waiting{};
     };
 
     struct arrival {
@@ -129,11 +141,14 @@
     };
 
     [[nodiscard]] std::size_t used_slots() const noexcept;
+    [[nodiscard]] bool unloading() const;
     [[nodiscard]] std::optional<std::string> victim(core::time_point now) const;
 
     slot_ledger_options settings;
     bool known{false};
     std::uint64_t accepted{};
+    /*! @brief When the last order was answered. */
+    std::optional<core::time_point> ordered{};
     std::set<std::string> models{};
     /*! @brief By `model/adapter`. */
     std::map<std::string, slot, std::less<>> slots{};
--- a/src/lagoonsaddle/edge/upstream_selector.cpp
+++ b/src/lagoonsaddle/edge/upstream_selector.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -81,8 +82,8 @@
     }
     const std::chrono::duration<double> age{now - found->second.updated};
     const auto own = found->second.per_second * std::exp(-(age / rate_memory));
-    const auto zone = own * static_cast<double>(std::max<std::size_t>(wanted.nodes_in_zone, 1u));
-    return 1u + static_cast<std::size_t>(zone / this->settings.requests_per_home);
+    const auto fleet = own * static_cast<double>(std::max<std::size_t>(wanted.nodes, 1u));
+    return 1u + static_cast<std::size_t>(fleet / this->settings.requests_per_home);
 }
 
 std::optional<selection> upstream_selector::choose(
@@ -94,7 +95,8 @@
                (serves_models && !upstream->holds_model(wanted.model));
     });
 
-    // The upstreams of the own availability zone come first, then by rendezvous hashing.
+    // All availability zones rank the upstreams alike: an adapter resident once serves them all, and a load from the
+    // weight store costs more than the transfer between availability zones.
     const std::string key = adapter_key(wanted.model, wanted.adapter);
     const bool placed = !wanted.adapter.empty();
     std::vector<std::pair<std::uint64_t, const known_upstream*>> ranking{};
@@ -105,9 +107,7 @@
     const auto local = [this](const known_upstream& upstream) {
         return upstream.entry.availability_zone == this->settings.availability_zone;
     };
-    std::ranges::sort(ranking, [&local](const auto& left, const auto& right) {
-        return std::pair{local(*left.second), left.first} > std::pair{local(*right.second), right.first};
-    });
+    std::ranges::sort(ranking, std::greater{}, [](const auto& entry) { return entry.first; });
 
     const auto home_count = placed ? this->homes(wanted, now) : candidates.size();
     std::optional<selection> best{};
@@ -115,7 +115,7 @@
         const auto& upstream = *ranking[index].second;
         const auto version = upstream.adapter_version(wanted.model, wanted.adapter, now);
         const bool resident = !placed || (version && *version >= wanted.version_min);
-        double cost = waiting_cost(upstream, serves_models, wanted.nodes_in_zone) + trouble_cost(upstream, now);
+        double cost = waiting_cost(upstream, serves_models, wanted.nodes) + trouble_cost(upstream, now);
         cost += local(upstream) ? 0.0 : zone_cost_ms;
         cost += index < home_count ? 0.0 : away_cost_ms;
         if(!resident) {
--- a/src/lagoonsaddle/edge/upstream_selector.hpp
+++ b/src/lagoonsaddle/edge/upstream_selector.hpp
@@ -24,8 +24,8 @@
     std::uint64_t version_min{};
     /*! @brief Upstreams that have failed this request. */
     const std::set<std::string>* excluded{};
-    /*! @brief Live nodes in the availability zone of this node. */
-    std::size_t nodes_in_zone{1u};
+    /*! @brief Live nodes of the fleet. */
+    std::size_t nodes{1u};
     /*! @brief Tells whether some node can order loads in an availability zone at present. */
     std::function<bool(std::string_view)> can_load{};
 };
@@ -42,14 +42,14 @@
 /*! @brief Options of `upstream_selector`. */
 struct upstream_selector_options {
     std::string availability_zone{};
-    /*! @brief Requests per second of one adapter and availability zone for each upstream that should hold it. */
+    /*! @brief Requests per second of one adapter for each upstream that should hold it. */
     double requests_per_home{3.0};
 };
 
 /**
  * @brief Chooses the upstream of a request by the least estimated delay, in milliseconds.
  *
- * Requests for an adapter meet on few upstreams of the availability zone, by rendezvous hashing, so that adapters and
+ * Requests for an adapter meet on few upstreams, by rendezvous hashing, so that adapters and
  * shared prompt parts stay resident; the number of these upstreams grows with the rate of the adapter. Answers skewed
  * load (a few adapters receive most requests) and upstreams that fail or fall behind. Not thread-safe.
  */
