edge: confirm loads by repeating the order; keep every lease; refuse long requests late in a stop

Cause: reports are 100 ms old, so that each load was noticed late; nodes that saw a lease record before the upstreams never kept the lease (no loads for 14 s after all processes were killed); a stop cut requests taken 3 s after SIGTERM.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -36,10 +36,12 @@
 /*! @brief Time before the end of the stop timeout at which the node exits in any case. */
 constexpr milliseconds exit_margin{400};
 constexpr milliseconds stop_poll{50};
+/*! @brief Time after the signal to stop from which long requests are refused: their answers would be cut off. */
+constexpr milliseconds refuse_after{2'400};
 /*! @brief Pause of a watch after changes, which are priced one by one. */
-constexpr milliseconds upstream_watch_spacing{300};
-constexpr milliseconds short_wait{2'500};
-constexpr milliseconds long_wait{8'000};
+constexpr milliseconds upstream_watch_spacing{700};
+constexpr milliseconds short_wait{3'500};
+constexpr milliseconds long_wait{5'000};
 /*! @brief An outage shorter than this lets no entries lapse. */
 constexpr milliseconds lapse_after{1'000};
 
@@ -226,7 +228,7 @@
         std::move(seeds));
     this->spawn_watcher(record_kind::configuration, short_wait, milliseconds{0});
     this->spawn_watcher(record_kind::upstreams, short_wait, upstream_watch_spacing);
-    this->spawn_watcher(record_kind::versions, short_wait, milliseconds{100});
+    this->spawn_watcher(record_kind::versions, long_wait, milliseconds{100});
     this->spawn_watcher(record_kind::leases, long_wait, milliseconds{0});
     this->placement->start();
     asio::co_spawn(this->context.io, [this] { return this->keep_house(); }, asio::detached);
@@ -388,6 +390,7 @@
     asio::co_spawn(
         this->context.io, [keep = this->placement] { return keep->release(); }, asio::detached);
     const auto limit = this->settings.stop_timeout - exit_margin;
+    this->requests.begin_stop(begin + refuse_after, begin + limit);
     asio::steady_timer timer{co_await asio::this_coro::executor};
     while(true) {
         const auto passed = this->context.time.now() - begin;
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -24,6 +24,8 @@
 constexpr unsigned sends_max{4u};
 /*! @brief Choices of an upstream for one request, counting those whose adapter could not be loaded. */
 constexpr unsigned choices_max{6u};
+/*! @brief Choices that are given up at once when all places of the upstream are in use. */
+constexpr unsigned choices_without_wait{4u};
 /*! @brief Requests with less time left are not sent: the answer could not arrive. */
 constexpr milliseconds send_margin{15};
 /*! @brief Time beyond the deadline in which the upstream's own answer at the deadline may arrive. */
@@ -106,6 +108,10 @@
 
 forwarder::~forwarder() = default;
 
+void forwarder::begin_stop(core::time_point refuse_from, core::time_point exit) noexcept {
+    this->stopping = stop_times{.refuse_from = refuse_from, .exit = exit};
+}
+
 std::size_t forwarder::live_nodes() const {
     const auto members = this->context.membership.members();
     const auto count = std::ranges::count_if(*members, &fleet::member::is_live);
@@ -160,6 +166,13 @@
         limit = std::min(limit, *state.terms.deadline);
     }
     state.deadline = state.begin + limit;
+    if(this->stopping && state.begin >= this->stopping->refuse_from && state.deadline > this->stopping->exit) {
+        core::error failure{.cause = core::reason::draining,
+            .message = "the node is about to stop",
+            .retry_after = milliseconds{0}};
+        co_await this->refuse(state, 503u, std::move(failure));
+        co_return;
+    }
     state.service = route_table::pick_service(*state.target, state.terms.id);
     state.digest = core::digest(state.message.method + '|' + std::string{state.message.headers.find("host").value_or("")} +
                                 '|' + state.message.target + '|' + state.terms.model + '/' + state.terms.adapter + '|' +
@@ -229,7 +242,8 @@
         .model = state.terms.model,
         .adapter = state.terms.adapter,
         .version_min = this->oldest_version(state),
-        .timeout_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(wait.count(), 1))};
+        .timeout_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(wait.count(), 1)),
+        .may_wait = state.choices > choices_without_wait};
     auto version = co_await this->context.placement.ensure(std::move(wanted));
     state.path += ";load@" + choice.upstream + ':' + std::string{version ? "ready" : core::to_string(version.error().cause)};
     if(!version) {
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -55,6 +56,13 @@
 
     boost::asio::awaitable<void> handle(http::request message, http::response_writer& writer) override;
 
+    /**
+     * @brief Begins a planned stop.
+     * @param refuse_from From this time on, requests that may last beyond `exit` are refused.
+     * @param exit Time at which the process ends at the latest.
+     */
+    void begin_stop(core::time_point refuse_from, core::time_point exit) noexcept;
+
 private:
     struct exchange_state;
     enum class step;
@@ -78,6 +86,11 @@
     void log(const exchange_state& state);
 
     forwarder_context context;
+    struct stop_times {
+        core::time_point refuse_from{};
+        core::time_point exit{};
+    };
+    std::optional<stop_times> stopping{};
 };
 
 } // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -19,15 +19,17 @@
 namespace {
 
 constexpr std::chrono::milliseconds lease_tick{100};
-constexpr std::chrono::milliseconds usage_interval{500};
+constexpr std::chrono::milliseconds usage_interval{250};
 /*! @brief Time after the start in which an unknown holder may still appear in the membership. */
 constexpr std::chrono::seconds membership_settle{3};
-/*! @brief Shortest time between two reports of an upstream whose loads are on their way. */
+/*! @brief Shortest time between two reports of an upstream whose evictions are on their way. */
 constexpr std::chrono::milliseconds report_interval{50};
-/*! @brief Delay of the state in a report. */
-constexpr std::chrono::milliseconds report_lag{100};
+/*! @brief Shortest time between two orders that confirm loads. */
+constexpr std::chrono::milliseconds order_spacing{5};
 constexpr std::chrono::milliseconds failed_order_delay{150};
 constexpr std::chrono::milliseconds model_poll_interval{200};
+/*! @brief Time between two orders to load the base model, in case the first was lost. */
+constexpr std::chrono::milliseconds model_order_interval{1'000};
 constexpr std::chrono::milliseconds idle_interval{1'000};
 /*! @brief Time for the way to the lease holder and back, beyond the time that the request may wait. */
 constexpr std::chrono::milliseconds peer_margin{100};
@@ -74,8 +76,7 @@
             continue;
         }
         const auto& zone = known.entry.availability_zone;
-        if(!this->leases.contains(zone)) {
-            static_cast<void>(this->tracker(zone));
+        if(this->kept_zones.insert(zone).second) {
             asio::co_spawn(
                 this->context.io, [self = this->shared_from_this(), zone] { return self->keep_lease(zone); },
                 asio::detached);
@@ -189,6 +190,11 @@
                         .add("token", static_cast<std::int64_t>(written->lease.fencing_token)));
                 this->upstreams_changed();
             } else if(!this->releasing) {
+                this->context.log.write(log_line{"lease_not_acquired"}
+                                            .add("zone", zone)
+                                            .add("holder", previous)
+                                            .add("reason", core::to_string(written.error().cause))
+                                            .add("message", written.error().message));
                 // A write without an answer may have taken effect: the record tells.
                 const auto record = co_await this->context.store.read_lease(zone);
                 if(record) {
@@ -381,7 +387,7 @@
         if(now >= deadline) {
             co_return core::fail(core::reason::timeout, "the adapter was not loaded in time");
         }
-        if(!state->ledger.can_place(wanted.model, wanted.adapter, now)) {
+        if(!wanted.may_wait && !state->ledger.can_place(wanted.model, wanted.adapter, now)) {
             co_return core::fail(core::reason::overloaded, "all adapter places of the upstream are in use");
         }
         // Without progress, the deadline and the loss of the lease are looked at again after the interval.
@@ -404,6 +410,9 @@
 
 asio::awaitable<bool> placement_service::synchronize(const std::string& upstream, driver& state) {
     const auto* known = this->context.upstreams.find(upstream);
+    if(known == nullptr) {
+        co_return false;
+    }
     const auto asked = this->context.time.now();
     const auto report = co_await this->context.control.report(known->entry.address);
     state.reported = asked;
@@ -430,7 +439,8 @@
     if(loader.empty() || !this->drives(loader)) {
         loader = upstream;
     }
-    if(loader == upstream) {
+    if(loader == upstream && this->context.time.now() >= state.model_ordered + model_order_interval) {
+        state.model_ordered = this->context.time.now();
         const ledger_order order{.model = model};
         co_await this->give(upstream, state, order);
     }
@@ -442,6 +452,9 @@
 asio::awaitable<void> placement_service::give(
     const std::string& upstream, driver& state, const ledger_order& order) {
     const auto* known = this->context.upstreams.find(upstream);
+    if(known == nullptr) {
+        co_return;
+    }
     auto& lease = this->tracker(known->entry.availability_zone);
     upstream_order message{.address = known->entry.address,
         .upstream = upstream,
@@ -503,13 +516,11 @@
         const auto now = this->context.time.now();
         if(const auto order = state->ledger.next(now)) {
             co_await this->give(upstream, *state, *order);
-        } else if(state->ledger.pending()) {
-            const auto expected = state->ledger.oldest_load().value_or(now - this->load_time) + this->load_time + report_lag;
-            const auto wait = std::max<core::duration>(expected - now, report_interval);
-            co_await this->pause(*state, std::min<core::duration>(wait, report_interval * 4));
-            if(this->drives(upstream) && this->context.time.now() - state->reported.value_or(now) >= report_interval) {
-                co_await this->synchronize(upstream, *state);
-            }
+        } else if(const auto due = state->ledger.next_confirmation()) {
+            co_await this->pause(*state, std::max<core::duration>(*due - now, order_spacing));
+        } else if(state->ledger.unloading()) {
+            co_await this->pause(*state, report_interval);
+            co_await this->synchronize(upstream, *state);
         } else {
             co_await this->pause(*state, state->ledger.has_wants() ? report_interval * 2 : idle_interval);
         }
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -113,6 +113,8 @@
         std::uint64_t started_ms{};
         /*! @brief When the last report that was taken over was asked for. */
         std::optional<core::time_point> reported{};
+        /*! @brief When the load of the base model was last ordered. */
+        core::time_point model_ordered{};
     };
 
     [[nodiscard]] boost::asio::awaitable<void> keep_lease(std::string zone);
@@ -139,6 +141,8 @@
     core::time_point started{};
     bool releasing{false};
     std::map<std::string, lease_tracker, std::less<>> leases{};
+    /*! @brief Availability zones whose leases this node keeps or tries to acquire. */
+    std::set<std::string> kept_zones{};
     std::map<std::string, std::shared_ptr<driver>, std::less<>> drivers{};
     std::map<std::string, announced, std::less<>> versions{};
     /*! @brief Upstream, model and adapter of a use. */
@@ -149,8 +153,6 @@
     std::map<use_key, unsigned> active_uses{};
     /*! @brief Upstream that loads a base model at present, by availability zone. */
     std::map<std::string, std::string, std::less<>> model_loads{};
-    /*! @brief Measured time of an adapter's load. */
-    core::duration load_time{std::chrono::milliseconds{250}};
 };
 
 } // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/slot_ledger.cpp
+++ b/src/lagoonsaddle/edge/slot_ledger.cpp
@@ -47,7 +47,7 @@
     std::map<std::string, arrival, std::less<>> arriving{};
     for(const auto& key : report.coming) {
         const auto previous = this->coming.find(key);
-        arriving.emplace(key, previous == this->coming.end() ? arrival{.version = 0u, .ordered = now} : previous->second);
+        arriving.emplace(key, previous == this->coming.end() ? arrival{.version = 0u, .ordered = now, .confirm = now} : previous->second);
     }
     this->coming = std::move(arriving);
     return true;
@@ -97,20 +97,28 @@
     return found->second.version;
 }
 
-bool slot_ledger::pending() const {
-    return !this->coming.empty() || this->unloading();
-}
-
 bool slot_ledger::unloading() const {
     return std::ranges::any_of(this->slots, [](const auto& entry) { return entry.second.unloading; });
 }
 
-std::optional<core::time_point> slot_ledger::oldest_load() const {
-    std::optional<core::time_point> oldest{};
+std::optional<core::time_point> slot_ledger::next_confirmation() const {
+    std::optional<core::time_point> first{};
     for(const auto& [key, entry] : this->coming) {
-        oldest = std::min(oldest.value_or(entry.ordered), entry.ordered);
+        first = std::min(first.value_or(entry.confirm), entry.confirm);
     }
-    return oldest;
+    return first;
+}
+
+std::optional<ledger_order> slot_ledger::due_confirmation(core::time_point now) const {
+    for(const auto& [key, entry] : this->coming) {
+        if(entry.confirm <= now) {
+            auto [model, adapter] = split_key(key);
+            return ledger_order{.model = std::move(model),
+                .adapter = std::move(adapter),
+                .version = entry.version > 0u ? std::optional{entry.version} : std::nullopt};
+        }
+    }
+    return std::nullopt;
 }
 
 std::size_t slot_ledger::used_slots() const noexcept {
@@ -143,6 +151,9 @@
     if(!this->known) {
         return std::nullopt;
     }
+    if(auto order = this->due_confirmation(now)) {
+        return order;
+    }
     // A resident adapter with a newer version is replaced in its place.
     if(this->coming.size() < this->settings.loads_max) {
         for(const auto& [key, entry] : this->slots) {
@@ -182,20 +193,32 @@
     this->ordered = now;
     switch(outcome) {
     case order_outcome::accepted:
+        if(const auto repeated = order.load ? this->coming.find(key) : this->coming.end();
+            repeated != this->coming.end()) {
+            // The upstream does not count the repetition of an order that it carries out.
+            auto& entry = repeated->second;
+            const auto whole = entry.ordered + this->settings.load;
+            entry.confirm = now < whole ? whole : now + this->settings.confirm_interval;
+            break;
+        }
         ++this->accepted;
         if(order.load) {
-            this->coming[key] = arrival{.version = order.version.value_or(0u), .ordered = now};
+            this->coming[key] = arrival{.version = order.version.value_or(0u),
+                .ordered = now,
+                .confirm = now + this->settings.cached_load};
         } else if(const auto found = this->slots.find(key); found != this->slots.end()) {
             found->second.unloading = true;
         }
         break;
     case order_outcome::done:
-        ++this->accepted;
         if(order.load) {
+            // The upstream does not count an order to load what it holds.
+            this->coming.erase(key);
             auto& entry = this->slots[key];
             entry.version = std::max(entry.version, order.version.value_or(0u));
             entry.used = now;
         } else {
+            ++this->accepted;
             this->slots.erase(key);
         }
         break;
--- a/src/lagoonsaddle/edge/slot_ledger.hpp
+++ b/src/lagoonsaddle/edge/slot_ledger.hpp
@@ -20,11 +20,16 @@
     /*! @brief Adapters that may be on their way to one upstream at a time. */
     std::size_t loads_max{4u};
     /*! @brief Time without a request after which an adapter may be unloaded. */
-    core::duration idle_min{std::chrono::milliseconds{1'200}};
+    core::duration idle_min{std::chrono::milliseconds{450}};
     /*! @brief Time for which the last use of an adapter that is not resident is remembered. */
     core::duration use_memory{std::chrono::seconds{5}};
     /*! @brief Oldest state that a report may describe. */
     core::duration report_lag{std::chrono::milliseconds{400}};
+    /*! @brief Time of a load from the upstream's own memory, and of one from the weight store. */
+    core::duration cached_load{std::chrono::milliseconds{28}};
+    core::duration load{std::chrono::milliseconds{255}};
+    /*! @brief Time between two repetitions of an order whose load takes longer. */
+    core::duration confirm_interval{std::chrono::milliseconds{30}};
 };
 
 /*! @brief An order that the ledger asks for. */
@@ -38,7 +43,8 @@
 /**
  * @brief Adapters of one upstream, as the node that orders its loads keeps them.
  *
- * Decides which adapter to load or unload next. Never asks for more adapters than the upstream has places, counting
+ * Decides which adapter to load or unload next. Reports are old, so that the end of a load is learnt by repeating its
+ * order: it is `done` when the adapter is resident. Never asks for more adapters than the upstream has places, counting
  * those on their way, and never for the unloading of one in use. Answers a long tail of rarely used adapters on few
  * places. Not thread-safe.
  */
@@ -87,11 +93,11 @@
     /*! @brief Returns the version of a resident adapter, or nothing. */
     [[nodiscard]] std::optional<std::uint64_t> resident(std::string_view model, std::string_view adapter) const;
 
-    /*! @brief Returns whether loads or evictions are on their way, so that the upstream has to be asked again. */
-    [[nodiscard]] bool pending() const;
+    /*! @brief Returns whether evictions are on their way, so that the upstream has to be asked for a report. */
+    [[nodiscard]] bool unloading() const;
 
-    /*! @brief Returns the time at which the oldest load on its way was ordered, or nothing. */
-    [[nodiscard]] std::optional<core::time_point> oldest_load() const;
+    /*! @brief Returns when the load that is on its way is due to be confirmed next, or nothing. */
+    [[nodiscard]] std::optional<core::time_point> next_confirmation() const;
 
     [[nodiscard]] bool holds_model(std::string_view model) const {
         return this->models.contains(std::string{model});
@@ -138,10 +144,12 @@
     struct arrival {
         std::uint64_t version{};
         core::time_point ordered{};
+        /*! @brief When the order is repeated, to learn whether the load is complete. */
+        core::time_point confirm{};
     };
 
     [[nodiscard]] std::size_t used_slots() const noexcept;
-    [[nodiscard]] bool unloading() const;
+    [[nodiscard]] std::optional<ledger_order> due_confirmation(core::time_point now) const;
     [[nodiscard]] std::optional<std::string> victim(core::time_point now) const;
 
     slot_ledger_options settings;
--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -214,8 +214,10 @@
     /*! @brief Oldest version that may serve; 0 for any. */
     std::uint64_t version_min{};
     std::uint64_t timeout_ms{};
+    /*! @brief Wait for a place instead of answering `overloaded` when all are in use. */
+    bool may_wait{};
 
-    MSGPACK_DEFINE_ARRAY(upstream, model, adapter, version_min, timeout_ms)
+    MSGPACK_DEFINE_ARRAY(upstream, model, adapter, version_min, timeout_ms, may_wait)
 };
 
 /*! @brief Answer to `adapter_wanted`. */
