edge: share the load of upstreams between nodes through the lease holder

Cause: with nine entry nodes each knew a ninth of the load of an upstream, and tried up to six full ones.

--- a/bin/entry.cpp
+++ b/bin/entry.cpp
@@ -33,7 +33,7 @@
 /*! @brief Unacknowledged data ends a connection after this time, as behind a partition. */
 constexpr std::chrono::milliseconds unacknowledged_timeout{2'500};
 constexpr std::chrono::milliseconds idle_timeout{4'000};
-constexpr std::chrono::milliseconds control_timeout{600};
+constexpr std::chrono::milliseconds control_timeout{300};
 
 /*! @brief Receives SIGHUP and SIGTERM until the node has stopped. */
 void watch_signals(asio::io_context& io, asio::signal_set& signals, edge::entry_node& node, edge::decision_log& log,
--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -358,12 +358,12 @@
 }
 
 asio::awaitable<void> entry_node::parts::handle(
-    std::string, wire::frame message, std::shared_ptr<wire::responder> answer) {
+    std::string peer, wire::frame message, std::shared_ptr<wire::responder> answer) {
     if(message.type == wire::message_type::quarantine_update) {
         this->quarantine.receive(message.body);
     } else if(message.type == wire::message_type::adapter_usage) {
         if(const auto usage = wire::unpack<wire::adapter_usage>(message.body)) {
-            this->placement->receive_usage(*usage);
+            answer->send(wire::message_type::fleet_load, wire::pack(this->placement->receive_usage(peer, *usage)));
         }
     } else if(message.type == wire::message_type::adapter_wanted) {
         auto wanted = wire::unpack<wire::adapter_wanted>(message.body);
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -25,7 +25,7 @@
 /*! @brief Choices of an upstream for one request, counting those whose adapter could not be loaded. */
 constexpr unsigned choices_max{6u};
 /*! @brief Choices that are given up at once when all places of the upstream are in use. */
-constexpr unsigned choices_without_wait{4u};
+constexpr unsigned choices_without_wait{2u};
 /*! @brief Requests with less time left are not sent: the answer could not arrive. */
 constexpr milliseconds send_margin{15};
 /*! @brief Time beyond the deadline in which the upstream's own answer at the deadline may arrive. */
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::chrono::milliseconds lease_tick{100};
 constexpr std::chrono::milliseconds usage_interval{250};
+constexpr std::chrono::milliseconds usage_timeout{1'000};
 /*! @brief Time after the start in which an unknown holder may still appear in the membership. */
 constexpr std::chrono::seconds membership_settle{3};
 /*! @brief Shortest time between two reports of an upstream whose evictions are on their way. */
@@ -293,38 +294,106 @@
     this->touch({.upstream = std::string{upstream}, .model = std::string{model}, .adapter = std::string{adapter}});
 }
 
-void placement_service::receive_usage(const wire::adapter_usage& usage) {
+wire::fleet_load placement_service::receive_usage(const std::string& peer, const wire::adapter_usage& usage) {
     for(const auto& use : usage.uses) {
         this->touch(use);
     }
+    const auto now = this->context.time.now();
+    for(const auto& load : usage.loads) {
+        if(const auto found = this->drivers.find(load.upstream); found != this->drivers.end()) {
+            found->second->loads[peer] = {.load = load, .at = now};
+        }
+    }
+    return this->load_of_others(peer);
+}
+
+wire::fleet_load placement_service::load_of_others(const std::string& node) {
+    const auto now = this->context.time.now();
+    wire::fleet_load sum{};
+    for(auto& [upstream, state] : this->drivers) {
+        wire::upstream_load total{.upstream = upstream, .free_places = state->ledger.free_places(now)};
+        std::erase_if(state->loads, [now](const auto& entry) { return now - entry.second.at > usage_interval * 4; });
+        for(const auto& [other, reported] : state->loads) {
+            if(other != node) {
+                total.in_flight += reported.load.in_flight;
+                total.pending_tokens += reported.load.pending_tokens;
+            }
+        }
+        sum.loads.push_back(std::move(total));
+    }
+    return sum;
+}
+
+void placement_service::take_fleet_load(const wire::fleet_load& load) {
+    const auto now = this->context.time.now();
+    for(const auto& entry : load.loads) {
+        if(auto* known = this->context.upstreams.find(entry.upstream)) {
+            known->peers = known_upstream::peer_load{.in_flight = entry.in_flight,
+                .pending_tokens = entry.pending_tokens,
+                .free_places = entry.free_places,
+                .at = now};
+        }
+    }
+}
+
+std::map<std::string, wire::adapter_usage> placement_service::collect_usage() {
+    std::map<std::string, wire::adapter_usage> messages{};
+    const auto message_for = [&](const std::string& upstream) -> wire::adapter_usage* {
+        const auto* known = this->context.upstreams.find(upstream);
+        const auto* group = this->service_of(upstream);
+        if(known == nullptr || group == nullptr || group->models.empty()) {
+            return nullptr;
+        }
+        const auto& lease = this->tracker(known->entry.availability_zone).current();
+        return lease ? &messages[lease->lease.holder] : nullptr;
+    };
+    auto uses = std::exchange(this->recent_uses, {});
+    for(const auto& [key, count] : this->active_uses) {
+        uses.insert(key);
+    }
+    for(const auto& [upstream, model, adapter] : uses) {
+        if(auto* message = message_for(upstream)) {
+            message->uses.push_back({.upstream = upstream, .model = model, .adapter = adapter});
+        }
+    }
+    for(const auto& [upstream, known] : this->context.upstreams.all()) {
+        if(auto* message = message_for(upstream); message != nullptr) {
+            message->loads.push_back(
+                {.upstream = upstream, .in_flight = known.in_flight, .pending_tokens = known.pending_tokens});
+        }
+    }
+    return messages;
+}
+
+asio::awaitable<void> placement_service::exchange_usage(std::string holder, wire::adapter_usage usage) {
+    if(holder == this->settings.self) {
+        this->take_fleet_load(this->receive_usage(holder, usage));
+        co_return;
+    }
+    const auto peer = this->context.peers.find(holder);
+    if(!peer) {
+        co_return;
+    }
+    auto body = wire::pack(usage);
+    const auto reply = co_await peer->call(wire::message_type::adapter_usage, std::move(body), usage_timeout);
+    if(!reply) {
+        co_return;
+    }
+    if(const auto load = wire::unpack<wire::fleet_load>(reply->body)) {
+        this->take_fleet_load(*load);
+    }
 }
 
 asio::awaitable<void> placement_service::send_usage() {
     while(!this->releasing) {
         co_await sleep(usage_interval);
-        auto pending = std::exchange(this->recent_uses, {});
-        for(const auto& [key, count] : this->active_uses) {
-            pending.insert(key);
-        }
-        std::map<std::string, wire::adapter_usage> messages{};
-        for(const auto& [upstream, model, adapter] : pending) {
-            wire::adapter_use use{.upstream = upstream, .model = model, .adapter = adapter};
-            const auto* known = this->context.upstreams.find(upstream);
-            if(known == nullptr) {
-                continue;
-            }
-            const auto& lease = this->tracker(known->entry.availability_zone);
-            if(lease.is_holder()) {
-                this->touch(use);
-            } else if(lease.current()) {
-                messages[lease.current()->lease.holder].uses.push_back(std::move(use));
-            }
-        }
-        for(const auto& [holder, message] : messages) {
-            if(const auto peer = this->context.peers.find(holder)) {
-                auto body = wire::pack(message);
-                co_await peer->notify(wire::message_type::adapter_usage, std::move(body));
-            }
+        for(auto& [holder, usage] : this->collect_usage()) {
+            asio::co_spawn(
+                this->context.io,
+                [self = this->shared_from_this(), holder = holder, usage = std::move(usage)]() mutable {
+                    return self->exchange_usage(std::move(holder), std::move(usage));
+                },
+                asio::detached);
         }
     }
 }
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -84,8 +84,8 @@
     void begin_use(std::string_view upstream, std::string_view model, std::string_view adapter);
     void end_use(std::string_view upstream, std::string_view model, std::string_view adapter);
 
-    /*! @brief Takes over the uses of a peer. */
-    void receive_usage(const wire::adapter_usage& usage);
+    /*! @brief Takes over the uses of a peer, and returns the load of the other nodes. */
+    [[nodiscard]] wire::fleet_load receive_usage(const std::string& peer, const wire::adapter_usage& usage);
 
     /*! @brief Takes over a lease record; a null record was removed. */
     void lease_changed(const std::string& zone, const stored_lease* record);
@@ -113,6 +113,12 @@
         std::uint64_t started_ms{};
         /*! @brief When the last report that was taken over was asked for. */
         std::optional<core::time_point> reported{};
+        /*! @brief Load that each node reported, with the time. */
+        struct reported_load {
+            wire::upstream_load load{};
+            core::time_point at{};
+        };
+        std::map<std::string, reported_load> loads{};
         /*! @brief When the load of the base model was last ordered. */
         core::time_point model_ordered{};
     };
@@ -120,6 +126,10 @@
     [[nodiscard]] boost::asio::awaitable<void> keep_lease(std::string zone);
     [[nodiscard]] boost::asio::awaitable<void> drive(std::string upstream);
     [[nodiscard]] boost::asio::awaitable<void> send_usage();
+    [[nodiscard]] boost::asio::awaitable<void> exchange_usage(std::string holder, wire::adapter_usage usage);
+    [[nodiscard]] std::map<std::string, wire::adapter_usage> collect_usage();
+    [[nodiscard]] wire::fleet_load load_of_others(const std::string& node);
+    void take_fleet_load(const wire::fleet_load& load);
     void touch(const wire::adapter_use& use);
     [[nodiscard]] boost::asio::awaitable<bool> load_missing_model(const std::string& upstream, driver& state);
     [[nodiscard]] boost::asio::awaitable<void> give(
--- a/src/lagoonsaddle/edge/slot_ledger.cpp
+++ b/src/lagoonsaddle/edge/slot_ledger.cpp
@@ -142,6 +142,18 @@
     return oldest;
 }
 
+std::size_t slot_ledger::free_places(core::time_point now) const {
+    const auto idle = std::ranges::count_if(this->slots, [this, now](const auto& entry) {
+        return now - entry.second.used >= this->settings.idle_min && !entry.second.unloading;
+    });
+    const auto wanted = std::ranges::count_if(this->wants, [this](const auto& entry) {
+        return !this->slots.contains(entry.first) && !this->coming.contains(entry.first);
+    });
+    const auto used = this->used_slots();
+    const auto free = static_cast<std::size_t>(idle) + (used < this->settings.slots ? this->settings.slots - used : 0u);
+    return free > static_cast<std::size_t>(wanted) ? free - static_cast<std::size_t>(wanted) : 0u;
+}
+
 bool slot_ledger::can_place(std::string_view model, std::string_view adapter, core::time_point now) const {
     const auto key = adapter_key(model, adapter);
     return !this->known || this->unloading() || this->slots.contains(key) || this->coming.contains(key) || this->used_slots() < this->settings.slots || this->victim(now).has_value();
--- a/src/lagoonsaddle/edge/slot_ledger.hpp
+++ b/src/lagoonsaddle/edge/slot_ledger.hpp
@@ -108,6 +108,9 @@
         return !this->wants.empty();
     }
 
+    /*! @brief Returns the places that are free or can be freed at once, less those that are wanted already. */
+    [[nodiscard]] std::size_t free_places(core::time_point now) const;
+
     /*! @brief Returns whether an adapter is held, on its way, or can be loaded, at once or after an eviction. */
     [[nodiscard]] bool can_place(std::string_view model, std::string_view adapter, core::time_point now) const;
 
--- a/src/lagoonsaddle/edge/upstream_selector.cpp
+++ b/src/lagoonsaddle/edge/upstream_selector.cpp
@@ -37,17 +37,34 @@
 constexpr double batch_cost_ms{2.0};
 /*! @brief Delay of a plain service per request in proportion to its places. */
 constexpr double service_cost_ms{120.0};
-/*! @brief Weight of the load that other nodes are assumed to put on an upstream, per node beside this one. */
+/*! @brief Upstream whose adapter places are all in use: a load has to wait for one. */
+constexpr double no_place_cost_ms{400.0};
+/*! @brief Age beyond which the reported load of the other nodes is ignored. */
+constexpr std::chrono::milliseconds peer_load_lifetime{1'500};
+/*! @brief Load that each other node is assumed to put on an upstream, in parts of this node's, while none is reported. */
 constexpr double peer_load_share{0.5};
 
-[[nodiscard]] double waiting_cost(const known_upstream& upstream, bool serves_models, std::size_t nodes) {
+[[nodiscard]] bool fresh(const known_upstream& upstream, core::time_point now) {
+    return upstream.peers && now - upstream.peers->at < peer_load_lifetime;
+}
+
+[[nodiscard]] double waiting_cost(
+    const known_upstream& upstream, bool serves_models, std::size_t nodes, core::time_point now) {
     const double share = 1.0 + peer_load_share * static_cast<double>(nodes > 0u ? nodes - 1u : 0u);
     if(!serves_models) {
         const auto slots = std::max(upstream.entry.slots, 1u);
         return service_cost_ms * share * upstream.in_flight / slots;
     }
-    const auto prefill = static_cast<double>(upstream.pending_tokens) / prompt_tokens_per_ms;
-    return share * (prefill + batch_cost_ms * upstream.in_flight);
+    auto tokens = static_cast<double>(upstream.pending_tokens);
+    auto running = static_cast<double>(upstream.in_flight);
+    if(fresh(upstream, now)) {
+        tokens += static_cast<double>(upstream.peers->pending_tokens);
+        running += static_cast<double>(upstream.peers->in_flight);
+    } else {
+        tokens *= share;
+        running *= share;
+    }
+    return tokens / prompt_tokens_per_ms + batch_cost_ms * running;
 }
 
 [[nodiscard]] double trouble_cost(const known_upstream& upstream, core::time_point now) {
@@ -115,13 +132,14 @@
         const auto& upstream = *ranking[index].second;
         const auto version = upstream.adapter_version(wanted.model, wanted.adapter, now);
         const bool resident = !placed || (version && *version >= wanted.version_min);
-        double cost = waiting_cost(upstream, serves_models, wanted.nodes) + trouble_cost(upstream, now);
+        double cost = waiting_cost(upstream, serves_models, wanted.nodes, now) + trouble_cost(upstream, now);
         cost += local(upstream) ? 0.0 : zone_cost_ms;
         cost += index < home_count ? 0.0 : away_cost_ms;
         if(!resident) {
             cost += load_cost_ms;
             const bool loadable = !wanted.can_load || wanted.can_load(upstream.entry.availability_zone);
             cost += loadable ? 0.0 : no_loader_cost_ms;
+            cost += fresh(upstream, now) && upstream.peers->free_places == 0u ? no_place_cost_ms : 0.0;
         }
         if(!best || cost < best->cost_ms) {
             best = selection{.upstream = upstream.entry.id, .resident = resident, .cost_ms = cost};
--- a/src/lagoonsaddle/wire/frame.hpp
+++ b/src/lagoonsaddle/wire/frame.hpp
@@ -35,7 +35,8 @@
     quarantine_update = 19,
     adapter_wanted = 20,
     adapter_ready = 21,
-    adapter_usage = 22
+    adapter_usage = 22,
+    fleet_load = 23
 };
 
 /*! @brief One message between nodes. */
--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -237,11 +237,32 @@
     MSGPACK_DEFINE_ARRAY(upstream, model, adapter)
 };
 
-/*! @brief Adapters that a node's requests have used since its last message, for the choice of evictions. */
+/*! @brief Requests of one node, or of all other nodes, on one upstream. */
+struct upstream_load {
+    std::string upstream{};
+    std::uint64_t in_flight{};
+    /*! @brief Prompt tokens of requests without an answer yet. */
+    std::uint64_t pending_tokens{};
+    /*! @brief Adapter places that are free or can be freed at once; set in answers only. */
+    std::uint64_t free_places{};
+
+    MSGPACK_DEFINE_ARRAY(upstream, in_flight, pending_tokens, free_places)
+};
+
+/*! @brief What a node's requests use, sent to the node that orders the upstreams' loads; answered by `fleet_load`. */
 struct adapter_usage {
+    /*! @brief Adapters in use, or used since the last message, for the choice of evictions. */
     std::vector<adapter_use> uses{};
+    std::vector<upstream_load> loads{};
+
+    MSGPACK_DEFINE_ARRAY(uses, loads)
+};
+
+/*! @brief Load that the other nodes put on the upstreams whose loads the sender orders. */
+struct fleet_load {
+    std::vector<upstream_load> loads{};
 
-    MSGPACK_DEFINE_ARRAY(uses)
+    MSGPACK_DEFINE_ARRAY(loads)
 };
 
 /*! @brief Asks a node for the explain record of a request. */
