--- a/src/lagoonsaddle/edge/upstream_selector.cpp
+++ b/src/lagoonsaddle/edge/upstream_selector.cpp
@@ -19,8 +19,10 @@
 // Costs in milliseconds of delay.
 /*! @brief Load of an adapter from the weight store. */
 constexpr double load_cost_ms{250.0};
-/*! @brief Upstream other than one of the adapter's homes: its prompt cache is cold, and a load displaces others. */
-constexpr double away_cost_ms{100.0};
+/*! @brief Upstream other than one of the adapter's homes that holds it: its prompt cache is cold. */
+constexpr double away_cost_ms{40.0};
+/*! @brief Load on an upstream other than one of the adapter's homes: the homes still have it in memory. */
+constexpr double away_load_cost_ms{300.0};
 /*! @brief Upstream in another availability zone: transfers between availability zones are expensive. */
 constexpr double zone_cost_ms{60.0};
 /*! @brief Availability zone in which no node can order the load. */
@@ -134,7 +136,9 @@
         const bool resident = !placed || (version && *version >= wanted.version_min);
         double cost = waiting_cost(upstream, serves_models, wanted.nodes, now) + trouble_cost(upstream, now);
         cost += local(upstream) ? 0.0 : zone_cost_ms;
-        cost += index < home_count ? 0.0 : away_cost_ms;
+        if(index >= home_count) {
+            cost += resident ? away_cost_ms : away_load_cost_ms;
+        }
         if(!resident) {
             cost += load_cost_ms;
             const bool loadable = !wanted.can_load || wanted.can_load(upstream.entry.availability_zone);
