--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -26,6 +26,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::string_view leaving_item_kind{"leaving"};
+constexpr std::string_view configuration_item_kind{"configuration"};
 constexpr std::chrono::minutes leaving_item_lifetime{2};
 /*! @brief Crashes of different upstreams after which a request is refused. */
 constexpr std::size_t crashes_until_quarantine{3u};
@@ -40,7 +41,8 @@
 constexpr milliseconds refuse_after{2'400};
 /*! @brief Pause of a watch after changes, which are priced one by one. */
 constexpr milliseconds upstream_watch_spacing{700};
-constexpr milliseconds short_wait{3'500};
+/*! @brief A store that drops its history may answer a watch only at the end of its wait. */
+constexpr milliseconds short_wait{1'900};
 constexpr milliseconds long_wait{5'000};
 /*! @brief An outage shorter than this lets no entries lapse. */
 constexpr milliseconds lapse_after{1'000};
@@ -103,6 +105,8 @@
     void take_upstream(const record_change& change);
     void take_configuration(const record_change& change);
     void take_lease(const record_change& change);
+    /*! @brief Reads the configuration because a peer has a newer one. */
+    void fetch_configuration();
     void announce_leaving(const std::string& id);
     void spawn_watcher(record_kind kind, milliseconds wait, milliseconds spacing);
     [[nodiscard]] asio::awaitable<void> keep_house();
@@ -129,6 +133,7 @@
     wire::peer_server peer_server;
     std::vector<std::unique_ptr<record_watcher>> watchers{};
     bool upstreams_known{false};
+    bool fetching_configuration{false};
     bool stopping{false};
 };
 
@@ -203,6 +208,9 @@
     }
     this->membership->on_item([this](const fleet::item& value) {
         this->quarantine.receive(value);
+        if(value.kind == configuration_item_kind && value.version > this->routes.version()) {
+            this->fetch_configuration();
+        }
         if(value.kind == leaving_item_kind && this->upstreams.mark_leaving(value.key, value.version)) {
             this->context.log.write(log_line{"upstream_leaving"}.add("upstream", value.key).add("source", "peer"));
         }
@@ -297,9 +305,27 @@
                                     .add("version", static_cast<std::int64_t>(config->version))
                                     .add("revision", static_cast<std::int64_t>(change.revision))
                                     .add("routes", static_cast<std::int64_t>(config->routes.size())));
+        this->membership->publish(fleet::item{
+            .kind = std::string{configuration_item_kind}, .key = "newest", .version = config->version});
     }
 }
 
+void entry_node::parts::fetch_configuration() {
+    if(std::exchange(this->fetching_configuration, true)) {
+        return;
+    }
+    asio::co_spawn(
+        this->context.io,
+        [this]() -> asio::awaitable<void> {
+            const auto page = co_await this->context.store.list(record_kind::configuration);
+            this->fetching_configuration = false;
+            if(page) {
+                this->changed(record_kind::configuration, *page);
+            }
+        },
+        asio::detached);
+}
+
 void entry_node::parts::take_lease(const record_change& change) {
     if(const auto* lease = std::get_if<lease_record>(&change.value)) {
         const stored_lease record{.lease = *lease, .revision = change.revision};
