--- a/bin/entry.cpp
+++ b/bin/entry.cpp
@@ -32,7 +32,7 @@
 constexpr std::chrono::milliseconds connect_timeout{350};
 /*! @brief Unacknowledged data ends a connection after this time, as behind a partition. */
 constexpr std::chrono::milliseconds unacknowledged_timeout{2'500};
-constexpr std::chrono::milliseconds idle_timeout{4'000};
+constexpr std::chrono::milliseconds idle_timeout{10'000};
 constexpr std::chrono::milliseconds control_timeout{300};
 
 /*! @brief Receives SIGHUP and SIGTERM until the node has stopped. */
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -37,7 +37,7 @@
 /*! @brief Deadline of a caller that states none, where the route has no timeout either. */
 constexpr milliseconds default_timeout{30'000};
 /*! @brief Longest idle time of a connection that a request which may not be repeated reuses. */
-constexpr milliseconds reuse_once{4'000};
+constexpr milliseconds reuse_once{8'000};
 constexpr milliseconds reuse_idempotent{10'000};
 /*! @brief Share of the remaining time after which an idempotent request without an answer is sent elsewhere. */
 constexpr double patience_share{0.45};
@@ -94,6 +94,9 @@
     bool head_sent{false};
     event_splitter events{};
     std::optional<core::time_point> first_event{};
+    core::time_point last_event{};
+    /*! @brief Longest time between two pieces of the stream. */
+    core::duration gap_max{};
 
     unsigned status{};
     std::string outcome{"unanswered"};
@@ -213,6 +216,7 @@
     selection_request wanted{.service = state.service,
         .model = state.terms.model,
         .adapter = state.terms.adapter,
+        .prompt_tokens = state.terms.prompt_tokens,
         .version_min = this->oldest_version(state),
         .excluded = &state.excluded,
         .nodes = this->live_nodes()};
@@ -488,6 +492,11 @@
             }
         }
         if(!events.empty()) {
+            const auto arrived = this->context.time.now();
+            if(state.last_event != core::time_point{}) {
+                state.gap_max = std::max(state.gap_max, arrived - state.last_event);
+            }
+            state.last_event = arrived;
             if(const auto sent = co_await state.writer.write(events); !sent) {
                 answer.close();
                 state.outcome = "caller_gone";
@@ -550,7 +559,7 @@
         .add("verdict", core::to_string(state.verdict))
         .add("ms", to_ms(now - state.begin).count());
     if(state.first_event) {
-        line.add("first_ms", to_ms(*state.first_event - state.begin).count());
+        line.add("first_ms", to_ms(*state.first_event - state.begin).count()).add("gap_ms", to_ms(state.gap_max).count());
     }
     if(state.outcome != "served") {
         line.add("reason", core::to_string(state.last.cause)).add("message", state.last.message);
--- a/src/lagoonsaddle/edge/lease_tracker.cpp
+++ b/src/lagoonsaddle/edge/lease_tracker.cpp
@@ -34,14 +34,12 @@
 }
 
 void lease_tracker::acquired(const stored_lease& value, core::time_point started, core::time_point now) {
-    const bool first = !this->record || this->record->lease.holder.empty();
     this->unreachable_at.reset();
     this->record = value;
     this->vacant_since.reset();
     this->valid_until = started + this->settings.duration;
     this->last_read = started;
-    // Nobody gave orders under a lease that did not exist or was released.
-    this->orders_from = first && this->settings.fenced ? now : now + this->settings.takeover_wait;
+    this->orders_from = now + (this->holder_ended ? this->settings.vacant_wait : this->settings.takeover_wait);
 }
 
 void lease_tracker::superseded() noexcept {
@@ -79,7 +77,8 @@
     }
     const bool earlier_self = this->record && this->record->lease.holder == this->settings.self;
     const bool held = this->record && !this->record->lease.holder.empty() && !earlier_self;
-    if((held && status != holder_status::dead) || !rank) {
+    const bool absent = status == holder_status::ended || status == holder_status::unreachable;
+    if((held && !absent) || !rank) {
         this->vacant_since.reset();
         return lease_action::none;
     }
@@ -91,6 +90,7 @@
         return lease_action::none;
     }
     this->vacant_since = now;
+    this->holder_ended = !held || status == holder_status::ended;
     return lease_action::acquire;
 }
 
--- a/src/lagoonsaddle/edge/lease_tracker.hpp
+++ b/src/lagoonsaddle/edge/lease_tracker.hpp
@@ -21,8 +21,10 @@
     core::duration read_interval{std::chrono::milliseconds{900}};
     /*! @brief Validity of the lease from the start of a read that showed this node as the holder. */
     core::duration duration{std::chrono::milliseconds{2'000}};
-    /*! @brief Time between acquiring the lease and the first order. */
-    core::duration takeover_wait{std::chrono::milliseconds{500}};
+    /*! @brief Time between acquiring the lease of a holder that may be alive and the first order. */
+    core::duration takeover_wait{std::chrono::seconds{3}};
+    /*! @brief The same where the holder has ended or released the lease, and upstreams check fencing tokens. */
+    core::duration vacant_wait{std::chrono::milliseconds{0}};
     /*! @brief Extra time before acquiring, per live candidate that is preferred to this node. */
     core::duration rank_delay{std::chrono::milliseconds{600}};
     /*! @brief Time for which the absence of a holder must last before the lease is acquired. */
@@ -30,7 +32,14 @@
 };
 
 /*! @brief What membership says about the holder of a lease. */
-enum class holder_status { live, dead, unknown };
+enum class holder_status {
+    live,
+    /*! @brief The process that acquired the lease has ended: the node left or restarted. */
+    ended,
+    /*! @brief The node does not answer; it may be alive behind a partition. */
+    unreachable,
+    unknown
+};
 
 /*! @brief What to do next about a lease. */
 enum class lease_action { none, read, acquire };
@@ -95,6 +104,8 @@
     std::optional<core::time_point> vacant_since{};
     core::time_point valid_until{core::time_point::min()};
     core::time_point orders_from{core::time_point::min()};
+    /*! @brief Whether the holder has ended, as of the last decision to acquire the lease. */
+    bool holder_ended{true};
     core::time_point last_read{core::time_point::min()};
     /*! @brief Start of the last read, if it failed for want of the store. */
     std::optional<core::time_point> unreachable_at{};
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -19,8 +19,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds lease_tick{100};
-constexpr std::chrono::milliseconds usage_interval{250};
+constexpr std::chrono::milliseconds usage_interval{60};
 constexpr std::chrono::milliseconds usage_timeout{1'000};
+/*! @brief Age beyond which a node's reported load is dropped. */
+constexpr std::chrono::milliseconds usage_lifetime{1'000};
 /*! @brief Time after the start in which an unknown holder may still appear in the membership. */
 constexpr std::chrono::seconds membership_settle{3};
 /*! @brief Shortest time between two reports of an upstream whose evictions are on their way. */
@@ -64,8 +66,11 @@
     options.self = this->settings.self;
     options.boot_id = this->settings.boot_id;
     options.fenced = this->settings.fenced;
+    options.takeover_wait = this->settings.lease_time;
     if(!this->settings.fenced) {
+        // Without tokens, only time separates the orders of two holders.
         options.takeover_wait = this->settings.lease_time + options.duration;
+        options.vacant_wait = this->settings.lease_time;
     }
     return this->leases.emplace(zone, lease_tracker{std::move(options)}).first->second;
 }
@@ -126,7 +131,7 @@
 
 holder_status placement_service::status_of(const lease_tracker& lease) const {
     if(!lease.current()) {
-        return holder_status::dead;
+        return holder_status::ended;
     }
     const auto& holder = lease.current()->lease.holder;
     const auto members = this->context.membership.members();
@@ -134,11 +139,14 @@
         std::ranges::find_if(*members, [&holder](const fleet::member& other) { return other.info.name == holder; });
     if(found == members->end()) {
         const bool settled = this->context.time.now() - this->started >= membership_settle;
-        return settled ? holder_status::dead : holder_status::unknown;
+        return settled ? holder_status::unreachable : holder_status::unknown;
     }
     const bool same_boot = found->info.boot_id == lease.current()->lease.holder_boot;
-    const bool serves = found->is_live() && found->state != fleet::member_state::leaving;
-    return serves && same_boot ? holder_status::live : holder_status::dead;
+    const bool stopping = found->state == fleet::member_state::leaving || found->state == fleet::member_state::left;
+    if(!same_boot || stopping) {
+        return holder_status::ended;
+    }
+    return found->is_live() ? holder_status::live : holder_status::unreachable;
 }
 
 std::optional<std::size_t> placement_service::rank(const std::string& zone) const {
@@ -312,7 +320,7 @@
     wire::fleet_load sum{};
     for(auto& [upstream, state] : this->drivers) {
         wire::upstream_load total{.upstream = upstream, .free_places = state->ledger.free_places(now)};
-        std::erase_if(state->loads, [now](const auto& entry) { return now - entry.second.at > usage_interval * 4; });
+        std::erase_if(state->loads, [now](const auto& entry) { return now - entry.second.at > usage_lifetime; });
         for(const auto& [other, reported] : state->loads) {
             if(other != node) {
                 total.in_flight += reported.load.in_flight;
--- a/src/lagoonsaddle/edge/upstream_selector.hpp
+++ b/src/lagoonsaddle/edge/upstream_selector.hpp
@@ -20,6 +20,7 @@
     std::string_view service{};
     std::string_view model{};
     std::string_view adapter{};
+    std::uint64_t prompt_tokens{};
     /*! @brief Oldest version of the adapter that may serve. */
     std::uint64_t version_min{};
     /*! @brief Upstreams that have failed this request. */
--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -21,6 +21,9 @@
 
 using idle_clock = std::chrono::steady_clock;
 
+/*! @brief Time before the peer closes an idle connection from which it is no longer used. */
+constexpr std::chrono::milliseconds close_margin{1'000};
+
 /*! @brief Closes a socket when a time has passed. All handlers run on the executor of the calling coroutine. */
 class expiry {
 public:
@@ -95,9 +98,9 @@
     void give(
         const core::endpoint& target, tcp::socket socket, std::optional<std::chrono::milliseconds> peer_timeout) {
         const auto now = idle_clock::now();
-        // Half of the peer's time: a request that crosses the peer's close would be lost.
-        const auto keep = peer_timeout ? std::min(this->settings.idle_timeout, *peer_timeout / 2)
-                                       : this->settings.idle_timeout;
+        // Well before the peer's own time: a request that crosses the peer's close would be lost.
+        const auto stated = peer_timeout.value_or(this->settings.idle_timeout);
+        const auto keep = std::min(this->settings.idle_timeout, std::max(stated / 2, stated - close_margin));
         const std::lock_guard lock{this->mutex};
         auto& entries = this->idle[target];
         if(entries.size() >= this->settings.idle_connections_per_endpoint) {
