edge: peers hear what a node reads in the store; large fleets watch with stale reads

Change: two exact readers per availability zone beyond 16 nodes; they tell the others of leaving upstreams, new versions and configurations at once.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -11,6 +11,7 @@
 
 #include <lagoonsaddle/edge/entry_node.hpp>
 #include <lagoonsaddle/edge/forwarder.hpp>
+#include <lagoonsaddle/edge/reader_roster.hpp>
 #include <lagoonsaddle/edge/record_watcher.hpp>
 #include <lagoonsaddle/http/json.hpp>
 #include <lagoonsaddle/http/server.hpp>
@@ -102,6 +103,10 @@
         parts& owner;
     };
 
+    /*! @brief Tells the peers what is new, once after each answer of the store. */
+    void send_news();
+    void receive_news(const wire::store_news& value);
+    [[nodiscard]] freshness watch_age() const;
     void take_upstream(const record_change& change);
     void take_configuration(const record_change& change);
     void take_lease(const record_change& change);
@@ -132,6 +137,8 @@
     http::server metrics_server;
     wire::peer_server peer_server;
     std::vector<std::unique_ptr<record_watcher>> watchers{};
+    /*! @brief What was read since the last message to the peers. */
+    wire::store_news news{};
     bool upstreams_known{false};
     bool fetching_configuration{false};
     bool stopping{false};
@@ -246,7 +253,8 @@
 void entry_node::parts::spawn_watcher(record_kind kind, milliseconds wait, milliseconds spacing) {
     auto& watcher = *this->watchers.emplace_back(std::make_unique<record_watcher>(this->context.store, *this,
         this->context.time, this->context.log,
-        record_watcher_options{.kind = kind, .wait = wait, .spacing = spacing}));
+        record_watcher_options{
+            .kind = kind, .wait = wait, .spacing = spacing, .age = [this] { return this->watch_age(); }}));
     asio::co_spawn(this->context.io, [&watcher] { return watcher.run(); }, asio::detached);
 }
 
@@ -267,12 +275,43 @@
     }
 }
 
+freshness entry_node::parts::watch_age() const {
+    const auto members = this->membership->members();
+    const bool exact = reads_exactly(this->settings.name, this->settings.availability_zone, *members);
+    return exact ? freshness::exact : freshness::stale;
+}
+
+void entry_node::parts::send_news() {
+    const auto value = std::exchange(this->news, {});
+    const bool empty = value.configuration_version == 0u && value.leaving.empty() && value.versions.empty();
+    if(!empty && this->watch_age() == freshness::exact) {
+        this->peers.broadcast(wire::message_type::store_news, wire::pack(value));
+    }
+}
+
+void entry_node::parts::receive_news(const wire::store_news& value) {
+    for(const auto& entry : value.leaving) {
+        if(this->upstreams.mark_leaving(entry.upstream, entry.started_ms)) {
+            this->context.log.write(
+                log_line{"upstream_leaving"}.add("upstream", entry.upstream).add("source", "peer"));
+        }
+    }
+    for(const auto& entry : value.versions) {
+        this->placement->version_announced(
+            version_record{.model = entry.model, .adapter = entry.adapter, .version = entry.version});
+    }
+    if(value.configuration_version > this->routes.version()) {
+        this->fetch_configuration();
+    }
+}
+
 void entry_node::parts::announce_leaving(const std::string& id) {
     const auto* known = this->upstreams.find(id);
     this->context.log.write(log_line{known != nullptr ? "upstream_leaving" : "upstream_gone"}
                                 .add("upstream", id)
                                 .add("source", "store"));
     if(known != nullptr) {
+        this->news.leaving.push_back({.upstream = id, .started_ms = known->entry.started_ms});
         this->membership->publish(fleet::item{.kind = std::string{leaving_item_kind},
             .key = id,
             .version = known->entry.started_ms,
@@ -305,6 +344,7 @@
                                     .add("version", static_cast<std::int64_t>(config->version))
                                     .add("revision", static_cast<std::int64_t>(change.revision))
                                     .add("routes", static_cast<std::int64_t>(config->routes.size())));
+        this->news.configuration_version = config->version;
         this->membership->publish(fleet::item{
             .kind = std::string{configuration_item_kind}, .key = "newest", .version = config->version});
     }
@@ -348,6 +388,7 @@
         }
         this->upstreams_known = true;
         this->placement->upstreams_changed();
+        this->send_news();
         return;
     }
     this->changed(kind, page);
@@ -364,7 +405,10 @@
             break;
         case record_kind::versions:
             if(const auto* record = std::get_if<version_record>(&change.value)) {
-                this->placement->version_announced(*record);
+                if(this->placement->version_announced(*record)) {
+                    this->news.versions.push_back(
+                        {.model = record->model, .adapter = record->adapter, .version = record->version});
+                }
             }
             break;
         case record_kind::leases:
@@ -375,6 +419,7 @@
     if(kind == record_kind::upstreams || kind == record_kind::configuration) {
         this->placement->upstreams_changed();
     }
+    this->send_news();
 }
 
 void entry_node::parts::store_returned(record_kind kind, core::duration outage) {
@@ -387,6 +432,10 @@
     std::string peer, wire::frame message, std::shared_ptr<wire::responder> answer) {
     if(message.type == wire::message_type::quarantine_update) {
         this->quarantine.receive(message.body);
+    } else if(message.type == wire::message_type::store_news) {
+        if(const auto value = wire::unpack<wire::store_news>(message.body)) {
+            this->receive_news(*value);
+        }
     } else if(message.type == wire::message_type::adapter_usage) {
         if(const auto usage = wire::unpack<wire::adapter_usage>(message.body)) {
             answer->send(wire::message_type::fleet_load, wire::pack(this->placement->receive_usage(peer, *usage)));
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -264,13 +264,13 @@
     return found == this->versions.end() ? announced{} : found->second;
 }
 
-void placement_service::version_announced(const version_record& record) {
+bool placement_service::version_announced(const version_record& record) {
     if(record.adapter.empty()) {
-        return;
+        return false;
     }
     auto& known = this->versions[adapter_key(record.model, record.adapter)];
     if(record.version <= known.version) {
-        return;
+        return false;
     }
     known = announced{.version = record.version, .at = this->context.time.now()};
     this->context.log.write(log_line{"version_announced"}
@@ -280,6 +280,7 @@
         state->ledger.announce(record.model, record.adapter, record.version);
         state->wake.cancel();
     }
+    return true;
 }
 
 void placement_service::touch(const wire::adapter_use& use) {
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -90,8 +90,8 @@
     /*! @brief Takes over a lease record; a null record was removed. */
     void lease_changed(const std::string& zone, const stored_lease* record);
 
-    /*! @brief Takes over a newly announced version. */
-    void version_announced(const version_record& record);
+    /*! @brief Takes over an announced version. Returns true when it is new. */
+    bool version_announced(const version_record& record);
 
     /*! @brief Returns the newest known version of an adapter and when it became known. */
     struct announced {
--- a/src/lagoonsaddle/edge/protocol.hpp
+++ b/src/lagoonsaddle/edge/protocol.hpp
@@ -85,6 +85,13 @@
     std::uint64_t revision{};
 };
 
+/*! @brief How old the data of a read may be. */
+enum class freshness {
+    exact,
+    /*! @brief Some seconds old, at a tenth of the price and outside of the store's rate. */
+    stale
+};
+
 /*! @brief The platform's store. Errors of writes carry a verdict. */
 class record_store {
 public:
@@ -101,10 +108,11 @@
      * @param kind Kind of the records.
      * @param revision Revision of the last page.
      * @param wait Longest time to wait.
+     * @param age How old the data may be.
      * @return The changes, an empty page after `wait`, `conflict` when the history is gone, or another error.
      */
     [[nodiscard]] virtual boost::asio::awaitable<core::result<record_page>> watch(
-        record_kind kind, std::uint64_t revision, std::chrono::milliseconds wait) = 0;
+        record_kind kind, std::uint64_t revision, std::chrono::milliseconds wait, freshness age) = 0;
 
     /*! @brief Reads a lease: `not_found` when it does not exist. */
     [[nodiscard]] virtual boost::asio::awaitable<core::result<stored_lease>> read_lease(std::string zone) = 0;
--- a/src/lagoonsaddle/edge/record_watcher.cpp
+++ b/src/lagoonsaddle/edge/record_watcher.cpp
@@ -25,14 +25,14 @@
 
 record_watcher::record_watcher(record_store& records, record_observer& receiver, const core::clock& clock,
     log_sink& sink, record_watcher_options options)
-    : store{records}, observer{receiver}, time{clock}, log{sink}, settings{options} {}
+    : store{records}, observer{receiver}, time{clock}, log{sink}, settings{std::move(options)} {}
 
 asio::awaitable<core::result<record_page>> record_watcher::fetch(bool& complete) {
     complete = !this->revision.has_value();
     if(complete) {
         co_return co_await this->store.list(this->settings.kind);
     }
-    co_return co_await this->store.watch(this->settings.kind, *this->revision, this->settings.wait);
+    co_return co_await this->store.watch(this->settings.kind, *this->revision, this->settings.wait, this->settings.age());
 }
 
 void record_watcher::note_failure(const core::error& failure) {
--- a/src/lagoonsaddle/wire/frame.hpp
+++ b/src/lagoonsaddle/wire/frame.hpp
@@ -36,7 +36,8 @@
     adapter_wanted = 20,
     adapter_ready = 21,
     adapter_usage = 22,
-    fleet_load = 23
+    fleet_load = 23,
+    store_news = 24
 };
 
 /*! @brief One message between nodes. */
--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -265,6 +265,30 @@
     MSGPACK_DEFINE_ARRAY(loads)
 };
 
+/*! @brief What a node has just read in the platform's store, for nodes that read it later or cannot reach it. */
+struct store_news {
+    struct leaving_upstream {
+        std::string upstream{};
+        std::uint64_t started_ms{};
+
+        MSGPACK_DEFINE_ARRAY(upstream, started_ms)
+    };
+
+    struct adapter_version {
+        std::string model{};
+        std::string adapter{};
+        std::uint64_t version{};
+
+        MSGPACK_DEFINE_ARRAY(model, adapter, version)
+    };
+
+    std::uint64_t configuration_version{};
+    std::vector<leaving_upstream> leaving{};
+    std::vector<adapter_version> versions{};
+
+    MSGPACK_DEFINE_ARRAY(configuration_version, leaving, versions)
+};
+
 /*! @brief Asks a node for the explain record of a request. */
 struct explain_get {
     std::string request_id{};
