--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -19,10 +19,12 @@
 namespace {
 
 constexpr std::chrono::milliseconds lease_tick{100};
+/*! @brief Time between two exchanges of load per `usage_nodes` nodes: a lease holder receives one from each node. */
 constexpr std::chrono::milliseconds usage_interval{60};
+constexpr std::size_t usage_nodes{10u};
 constexpr std::chrono::milliseconds usage_timeout{1'000};
 /*! @brief Age beyond which a node's reported load is dropped. */
-constexpr std::chrono::milliseconds usage_lifetime{1'000};
+constexpr std::chrono::milliseconds usage_lifetime{1'500};
 /*! @brief Time after the start in which an unknown holder may still appear in the membership. */
 constexpr std::chrono::seconds membership_settle{3};
 /*! @brief Shortest time between two reports of an upstream whose evictions are on their way. */
@@ -395,7 +397,8 @@
 
 asio::awaitable<void> placement_service::send_usage() {
     while(!this->releasing) {
-        co_await sleep(usage_interval);
+        const auto nodes = this->context.membership.members()->size();
+        co_await sleep(usage_interval * static_cast<int>(1u + nodes / usage_nodes));
         for(auto& [holder, usage] : this->collect_usage()) {
             asio::co_spawn(
                 this->context.io,
--- /dev/null
+++ b/test/edge/entry_settings_test.cpp
@@ -0,0 +1,69 @@
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include <lagoonsaddle/edge/entry_settings.hpp>
+
+namespace lagoonsaddle::edge {
+
+namespace {
+
+struct entry_settings_fixture {
+    [[nodiscard]] std::string with(const std::string& key, const std::string& value) const {
+        auto text = this->valid;
+        const auto start = text.find('"' + key + '"');
+        REQUIRE(start != std::string::npos);
+        const auto from = text.find(':', start) + 1u;
+        text.replace(from, text.find('\n', from) - from, ' ' + value + ',');
+        return text;
+    }
+
+    std::string valid{R"(// Settings of a test.
+{
+    "name": "n1",
+    "availability_zone": "z1",
+    "listen_callers": "10.0.0.1:80",
+    "listen_readiness": "10.0.0.1:81",
+    "peer_port": 7380,
+    "seeds": ["10.0.0.1:82", "10.0.0.2:82"],
+    "store": "10.0.0.9:90",
+    "upstreams_check_tokens": true,
+    "lease_time_s": 3000e-3,
+    "retry_ratio": 0.2,
+    "retry_slack": 58,
+    "retry_window_s": 10,
+    "stop_timeout_s": 8,
+    "unused": 0
+})"};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(entry_settings_fixture, "parse_valid_text_returns_settings") {
+    const auto values = parse_entry_settings(this->valid);
+    REQUIRE(values.has_value());
+    CHECK(values->store == core::endpoint{"10.0.0.9", 90u});
+    CHECK(values->seeds == std::vector<std::string>{"10.0.0.1", "10.0.0.2"});
+    CHECK(values->lease_time == std::chrono::seconds{3});
+    CHECK(values->metrics_port == 7381u);
+}
+
+// Guards against a node that starts with a wrong value, and a message that does not name the key.
+TEST_CASE_FIXTURE(entry_settings_fixture, "parse_wrong_values_names_key") {
+    struct row {
+        const char* key;
+        const char* value;
+    };
+
+    for(const auto& [key, value] : {row{"name", "\"\""}, row{"listen_callers", "\"10.0.0.1\""},
+            row{"peer_port", "70000"}, row{"seeds", "\"x\""}, row{"upstreams_check_tokens", "1"},
+            row{"retry_ratio", "-0.1"}, row{"lease_time_s", "\"3\""}}) {
+        const auto values = parse_entry_settings(this->with(key, value));
+        REQUIRE_FALSE(values.has_value());
+        CHECK(values.error().message.find(key) != std::string::npos);
+    }
+    CHECK_FALSE(parse_entry_settings("{").has_value());
+    CHECK_FALSE(parse_entry_settings("{}").has_value());
+}
+
+} // namespace lagoonsaddle::edge
--- /dev/null
+++ b/test/host_platform/record_codec_test.cpp
@@ -0,0 +1,110 @@
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include <platform/record_codec.hpp>
+
+namespace lagoonsaddle::host_platform {
+
+namespace {
+
+[[nodiscard]] edge::record_change decode(edge::record_kind kind, const std::string& spec) {
+    return decode_object(
+        kind, nlohmann::json::parse(R"({"metadata":{"name":"x","revision":9},"spec":)" + spec + "}"));
+}
+
+} // namespace
+
+// Guards against an upstream that is used by the description of another writer, or by one that cannot be read.
+TEST_CASE("decode_object_table_of_upstreams_keeps_only_readable") {
+    struct row {
+        const char* spec;
+        bool readable;
+    };
+
+    const std::string valid{
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","born":17,"seq":4})"};
+    for(const auto& [spec, readable] : {row{valid.c_str(), true}, row{"null", false}, row{"[]", false}, row{"{}", false},
+            row{R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"unheard-of"})", false},
+            row{R"({"service":7,"address":"10.0.0.1:80","zone":"z","state":"ready"})", false},
+            row{R"({"service":"s","address":"10.0.0.1","zone":"z","state":"ready"})", false},
+            row{R"({"service":"s","address":"10.0.0.1:99999","zone":"z","state":"ready"})", false},
+            row{R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining","slots":"many"})", true}}) {
+        CAPTURE(spec);
+        CHECK(std::holds_alternative<edge::upstream_entry>(decode(edge::record_kind::upstreams, spec).value) == readable);
+    }
+    const auto change = decode(edge::record_kind::upstreams, valid);
+    const auto& entry = std::get<edge::upstream_entry>(change.value);
+    CHECK(entry.id == "x");
+    CHECK(entry.started_ms == 17u);
+    CHECK(entry.orders_accepted == 4u);
+    CHECK(change.revision == 9u);
+}
+
+TEST_CASE("decode_object_configuration_returns_routes_and_services") {
+    const auto change = decode_object(edge::record_kind::configuration, nlohmann::json::parse(R"({
+        "metadata": {"name": "main", "revision": 3},
+        "spec": {"version": 7, "routes": [
+            {"name": "r", "host": "h", "pathPrefix": "/a/", "kind": "streaming", "timeoutMs": 6000,
+             "targetLatencyMs": 1000, "priority": 1, "maxAttempts": 2, "resumable": true,
+             "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]},
+            {"name": "q", "host": "h", "pathPrefix": "/b/", "kind": "safe", "timeoutMs": 800, "service": "t"},
+            {"name": "p", "host": "h", "pathPrefix": "/c/", "kind": "unsafe", "timeoutMs": 800, "service": "t"}],
+         "services": [{"name": "s", "maxConnections": 370, "engine": {"adapterSlots": 8, "loadsPerS": 2.8,
+             "models": [{"name": "m", "loadS": 1.9}]}}, {"name": "t"}]}})"));
+    const auto& config = std::get<edge::configuration>(change.value);
+    REQUIRE(config.routes.size() == 3u);
+    CHECK(config.routes[0].repeat == edge::repeatability::resumable);
+    CHECK(config.routes[0].services[1].weight == 10u);
+    CHECK(config.routes[1].repeat == edge::repeatability::idempotent);
+    CHECK(config.routes[2].repeat == edge::repeatability::once);
+    CHECK(config.services[0].adapter_slots == 8u);
+    CHECK(config.services[0].models == std::vector<std::string>{"m"});
+    CHECK(config.services[1].models.empty());
+}
+
+TEST_CASE("decode_watch_events_returns_changes_and_removals") {
+    const auto page = decode_watch(edge::record_kind::versions, R"({"storeRevision": 40, "events": [
+        {"removed": false, "object": {"metadata": {"name": "m.a3", "revision": 38},
+            "spec": {"model": "m", "adapter": "a3", "version": 2}}},
+        {"removed": true, "object": {"metadata": {"name": "m.a4", "revision": 39},
+            "spec": {"model": "m", "adapter": "a4", "version": 2}}}, {"removed": false}]})");
+    REQUIRE(page.has_value());
+    CHECK(page->revision == 40u);
+    REQUIRE(page->records.size() == 2u);
+    CHECK(std::get<edge::version_record>(page->records[0].value).version == 2u);
+    CHECK(std::holds_alternative<std::monostate>(page->records[1].value));
+    CHECK_FALSE(decode_watch(edge::record_kind::versions, "{}").has_value());
+    CHECK_FALSE(decode_watch(edge::record_kind::versions, "not json").has_value());
+}
+
+TEST_CASE("decode_report_engine_returns_adapters_and_arrivals") {
+    const auto report = decode_report(R"({"models": [{"name": "m", "version": 1, "adapters": ["a1@3", "a2"]}],
+        "seq": 6, "busy": true, "coming": ["m/a9@2"]})");
+    REQUIRE(report.has_value());
+    CHECK(report->models.at("m").adapters.at("a1") == 3u);
+    CHECK(report->models.at("m").adapters.at("a2") == 0u);
+    CHECK(report->coming == std::vector<std::string>{"m/a9"});
+    CHECK_FALSE(decode_report(R"({"models": []})").has_value());
+}
+
+// Guards against an order without its condition, which could take effect after newer ones.
+TEST_CASE("encode_order_adapter_carries_condition_and_token") {
+    const edge::upstream_order order{.model = "m", .adapter = "a3", .expected_orders = 2u, .holder = "n", .fencing_token = 41u};
+    const auto body = nlohmann::json::parse(encode_order(order));
+    CHECK(body == nlohmann::json::parse(
+        R"({"operation":"load","model":"m","adapter":"a3","precondition":2,"holder":"n","fence":41})"));
+}
+
+TEST_CASE("encode_lease_round_trip_returns_lease") {
+    const edge::lease_record lease{.availability_zone = "z", .holder = "n", .holder_boot = 77u, .fencing_token = 4u};
+    auto object = nlohmann::json::parse(encode_lease(lease, 5u));
+    CHECK(object["metadata"]["revision"] == 5u);
+    const auto change = decode_object(edge::record_kind::leases, object);
+    const auto& copy = std::get<edge::lease_record>(change.value);
+    CHECK(copy.holder_boot == 77u);
+    CHECK(copy.fencing_token == 4u);
+    CHECK_FALSE(nlohmann::json::parse(encode_lease(lease, 0u))["metadata"].contains("revision"));
+}
+
+} // namespace lagoonsaddle::host_platform
