edge, http: log what may have run when a caller leaves; tests of the HTTP changes

Change: the line says may_have_run and that the caller closed its connection; an upstream's own failure is named.

--- a/bin/entry.cpp
+++ b/bin/entry.cpp
@@ -1,25 +1,26 @@
+#include "entry.hpp"
+
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <functional>
 #include <iostream>
+#include <platform/request_format.hpp>
+#include <platform/store_client.hpp>
+#include <platform/upstream_control.hpp>
 #include <random>
+#include <unistd.h>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <unistd.h>
 
-#include "entry.hpp"
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/edge/decision_log.hpp>
 #include <lagoonsaddle/edge/entry_node.hpp>
 #include <lagoonsaddle/http/client.hpp>
-#include <platform/request_format.hpp>
-#include <platform/store_client.hpp>
-#include <platform/upstream_control.hpp>
 
 namespace lagoonsaddle {
 
@@ -76,8 +77,8 @@
     host_platform::store_client store{control, host_platform::store_client_options{.server = settings.store}};
     host_platform::upstream_control orders{control, control_timeout};
     const auto name = settings.name;
-    const std::uint64_t boot_id = (std::uint64_t{std::random_device{}()} << 20u) ^
-                                  static_cast<std::uint64_t>(core::unix_time().count());
+    const std::uint64_t boot_id =
+        (std::uint64_t{std::random_device{}()} << 20u) ^ static_cast<std::uint64_t>(core::unix_time().count());
     edge::entry_node node{edge::entry_node_context{.io = io,
                               .time = clock,
                               .log = log,
--- a/bin/lagoonsaddled.cpp
+++ b/bin/lagoonsaddled.cpp
@@ -16,6 +16,7 @@
 #include <docopt/docopt.h>
 #include <glog/logging.h>
 
+#include "entry.hpp"
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/gateway/node.hpp>
 #include <lagoonsaddle/http/server.hpp>
@@ -24,8 +25,6 @@
 #include <lagoonsaddle/operate/token_check.hpp>
 #include <lagoonsaddle/settings/reader.hpp>
 
-#include "entry.hpp"
-
 namespace {
 
 using namespace lagoonsaddle;
--- a/src/lagoonsaddle/edge/decision_log.cpp
+++ b/src/lagoonsaddle/edge/decision_log.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <cctype>
 #include <cerrno>
-
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -75,8 +74,7 @@
         return;
     }
     if(this->dropped_since > 0u) {
-        this->append(
-            log_line{"log_lines_dropped"}.add("count", static_cast<std::int64_t>(this->dropped_since)).text());
+        this->append(log_line{"log_lines_dropped"}.add("count", static_cast<std::int64_t>(this->dropped_since)).text());
         this->dropped_since = 0u;
     }
     this->append(line.text());
--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -157,19 +157,18 @@
           this->context.io, this->context.time, fleet::membership_settings{})},
       peers{this->context.io, *this->membership,
           wire::hello{.node = this->settings.name, .availability_zone = this->settings.availability_zone}},
-      quarantine{policy::crash_quarantine_options{.crashes_until_quarantine = crashes_until_quarantine,
-                     .suspect_duration = suspect_duration},
+      quarantine{policy::crash_quarantine_options{
+                     .crashes_until_quarantine = crashes_until_quarantine, .suspect_duration = suspect_duration},
           *this->membership, this->peers},
-      placement{std::make_shared<placement_service>(
-          placement_context{.io = this->context.io,
-              .time = this->context.time,
-              .log = this->context.log,
-              .store = this->context.store,
-              .control = this->context.control,
-              .routes = this->routes,
-              .upstreams = this->upstreams,
-              .membership = *this->membership,
-              .peers = this->peers},
+      placement{std::make_shared<placement_service>(placement_context{.io = this->context.io,
+                                                        .time = this->context.time,
+                                                        .log = this->context.log,
+                                                        .store = this->context.store,
+                                                        .control = this->context.control,
+                                                        .routes = this->routes,
+                                                        .upstreams = this->upstreams,
+                                                        .membership = *this->membership,
+                                                        .peers = this->peers},
           placement_options{.self = this->settings.name,
               .availability_zone = this->settings.availability_zone,
               .boot_id = this->boot_id,
@@ -195,12 +194,12 @@
       metrics_server{this->context.io, this->metrics_pages,
           http::server_options{
               .listen = {.address = this->settings.callers.address, .port = this->settings.metrics_port}}},
-      peer_server{this->context.io, *this, {.address = this->settings.callers.address, .port = this->settings.peer_port},
+      peer_server{this->context.io, *this,
+          {.address = this->settings.callers.address, .port = this->settings.peer_port},
           wire::hello{.node = this->settings.name, .availability_zone = this->settings.availability_zone}} {}
 
 core::result<void> entry_node::parts::start() {
-    const core::endpoint peer_address{
-        .address = this->settings.callers.address, .port = this->settings.peer_port};
+    const core::endpoint peer_address{.address = this->settings.callers.address, .port = this->settings.peer_port};
     for(auto* server : {&this->caller_server, &this->readiness_server, &this->metrics_server}) {
         if(auto started = server->start(); !started) {
             return started;
@@ -224,14 +223,14 @@
     });
     this->membership->on_change([this](const fleet::member_change& change) {
         const auto& other = change.member;
-        this->context.log.write(log_line{"member"}
-                                    .add("node", other.info.name)
-                                    .add("state", fleet::to_string(other.state)));
+        this->context.log.write(
+            log_line{"member"}.add("node", other.info.name).add("state", fleet::to_string(other.state)));
         if(!other.is_live() || change.restarted) {
             this->peers.drop(other.info.name);
         }
     });
     std::vector<core::endpoint> seeds{};
+    seeds.reserve(this->settings.seeds.size());
     for(const auto& address : this->settings.seeds) {
         seeds.push_back({.address = address, .port = this->settings.peer_port});
     }
@@ -246,16 +245,19 @@
     this->spawn_watcher(record_kind::versions, long_wait, milliseconds{100});
     this->spawn_watcher(record_kind::leases, long_wait, milliseconds{0});
     this->placement->start();
-    asio::co_spawn(this->context.io, [this] { return this->keep_house(); }, asio::detached);
+    asio::co_spawn(
+        this->context.io, [this] { return this->keep_house(); }, asio::detached);
     return {};
 }
 
 void entry_node::parts::spawn_watcher(record_kind kind, milliseconds wait, milliseconds spacing) {
-    auto& watcher = *this->watchers.emplace_back(std::make_unique<record_watcher>(this->context.store, *this,
-        this->context.time, this->context.log,
-        record_watcher_options{
-            .kind = kind, .wait = wait, .spacing = spacing, .age = [this] { return this->watch_age(); }}));
-    asio::co_spawn(this->context.io, [&watcher] { return watcher.run(); }, asio::detached);
+    auto& watcher =
+        *this->watchers.emplace_back(std::make_unique<record_watcher>(this->context.store, *this, this->context.time,
+            this->context.log, record_watcher_options{.kind = kind, .wait = wait, .spacing = spacing, .age = [this] {
+                                                          return this->watch_age();
+                                                      }}));
+    asio::co_spawn(
+        this->context.io, [&watcher] { return watcher.run(); }, asio::detached);
 }
 
 bool entry_node::parts::ready() const noexcept {
@@ -269,7 +271,8 @@
         boost::system::error_code ignored{};
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         for(const auto& id : this->upstreams.expire(this->context.time.now())) {
-            this->context.log.write(log_line{"upstream_gone"}.add("upstream", id).add("reason", "missing_after_outage"));
+            this->context.log.write(
+                log_line{"upstream_gone"}.add("upstream", id).add("reason", "missing_after_outage"));
         }
         this->context.log.flush();
     }
@@ -292,8 +295,7 @@
 void entry_node::parts::receive_news(const wire::store_news& value) {
     for(const auto& entry : value.leaving) {
         if(this->upstreams.mark_leaving(entry.upstream, entry.started_ms)) {
-            this->context.log.write(
-                log_line{"upstream_leaving"}.add("upstream", entry.upstream).add("source", "peer"));
+            this->context.log.write(log_line{"upstream_leaving"}.add("upstream", entry.upstream).add("source", "peer"));
         }
     }
     for(const auto& entry : value.versions) {
@@ -307,9 +309,8 @@
 
 void entry_node::parts::announce_leaving(const std::string& id) {
     const auto* known = this->upstreams.find(id);
-    this->context.log.write(log_line{known != nullptr ? "upstream_leaving" : "upstream_gone"}
-                                .add("upstream", id)
-                                .add("source", "store"));
+    this->context.log.write(
+        log_line{known != nullptr ? "upstream_leaving" : "upstream_gone"}.add("upstream", id).add("source", "store"));
     if(known != nullptr) {
         this->news.leaving.push_back({.upstream = id, .started_ms = known->entry.started_ms});
         this->membership->publish(fleet::item{.kind = std::string{leaving_item_kind},
@@ -345,8 +346,8 @@
                                     .add("revision", static_cast<std::int64_t>(change.revision))
                                     .add("routes", static_cast<std::int64_t>(config->routes.size())));
         this->news.configuration_version = config->version;
-        this->membership->publish(fleet::item{
-            .kind = std::string{configuration_item_kind}, .key = "newest", .version = config->version});
+        this->membership->publish(
+            fleet::item{.kind = std::string{configuration_item_kind}, .key = "newest", .version = config->version});
     }
 }
 
@@ -459,7 +460,8 @@
 asio::awaitable<void> entry_node::parts::stop() {
     const auto begin = this->context.time.now();
     this->stopping = true;
-    this->context.log.write(log_line{"stop"}.add("active", static_cast<std::int64_t>(this->caller_server.active_requests())));
+    this->context.log.write(
+        log_line{"stop"}.add("active", static_cast<std::int64_t>(this->caller_server.active_requests())));
     this->membership->leave();
     this->caller_server.begin_drain();
     asio::co_spawn(
@@ -510,10 +512,10 @@
                 adapters.push_back(adapter_key(model, adapter) + '@' + std::to_string(version));
             }
         }
-        upstream_states.push_back({{"id", id}, {"service", known.entry.service},
-            {"availability_zone", known.entry.availability_zone}, {"leaving", known.entry.leaving},
-            {"in_flight", known.in_flight}, {"failure_share", known.health.failure_share(now)},
-            {"adapters", std::move(adapters)}});
+        upstream_states.push_back(
+            {{"id", id}, {"service", known.entry.service}, {"availability_zone", known.entry.availability_zone},
+                {"leaving", known.entry.leaving}, {"in_flight", known.in_flight},
+                {"failure_share", known.health.failure_share(now)}, {"adapters", std::move(adapters)}});
     }
     const nlohmann::json state{{"node", this->settings.name}, {"ready", this->ready()},
         {"configuration_version", this->routes.version()}, {"upstreams", std::move(upstream_states)},
--- a/src/lagoonsaddle/edge/entry_settings.cpp
+++ b/src/lagoonsaddle/edge/entry_settings.cpp
@@ -40,8 +40,7 @@
 [[nodiscard]] double number_of(const json& object, const char* key, double low, double high) {
     const auto& value = value_of(object, key);
     if(!value.is_number() || value.get<double>() < low || value.get<double>() > high) {
-        throw settings_error{
-            key, "must be a number from " + std::to_string(low) + " to " + std::to_string(high)};
+        throw settings_error{key, "must be a number from " + std::to_string(low) + " to " + std::to_string(high)};
     }
     return value.get<double>();
 }
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -170,16 +170,15 @@
     }
     state.deadline = state.begin + limit;
     if(this->stopping && state.begin >= this->stopping->refuse_from && state.deadline > this->stopping->exit) {
-        core::error failure{.cause = core::reason::draining,
-            .message = "the node is about to stop",
-            .retry_after = milliseconds{0}};
+        core::error failure{
+            .cause = core::reason::draining, .message = "the node is about to stop", .retry_after = milliseconds{0}};
         co_await this->refuse(state, 503u, std::move(failure));
         co_return;
     }
     state.service = route_table::pick_service(*state.target, state.terms.id);
-    state.digest = core::digest(state.message.method + '|' + std::string{state.message.headers.find("host").value_or("")} +
-                                '|' + state.message.target + '|' + state.terms.model + '/' + state.terms.adapter + '|' +
-                                state.message.body);
+    state.digest = core::digest(
+        state.message.method + '|' + std::string{state.message.headers.find("host").value_or("")} + '|' +
+        state.message.target + '|' + state.terms.model + '/' + state.terms.adapter + '|' + state.message.body);
     if(this->context.quarantine.classify(state.digest) == policy::standing::quarantined) {
         core::error failure{
             .cause = core::reason::quarantined, .message = "the request crashed the upstreams that ran it"};
@@ -206,8 +205,8 @@
         co_return step::finished;
     }
     if(now + send_margin >= state.deadline) {
-        state.last = core::error{.cause = core::reason::deadline_exceeded, .verdict = state.verdict,
-            .message = "the deadline has passed"};
+        state.last = core::error{
+            .cause = core::reason::deadline_exceeded, .verdict = state.verdict, .message = "the deadline has passed"};
         co_return step::stop;
     }
     if(++state.choices > choices_max) {
@@ -220,7 +219,9 @@
         .version_min = this->oldest_version(state),
         .excluded = &state.excluded,
         .nodes = this->live_nodes()};
-    wanted.can_load = [this](std::string_view zone) { return this->context.placement.can_load(zone); };
+    wanted.can_load = [this](std::string_view zone) {
+        return this->context.placement.can_load(zone);
+    };
     const auto choice = this->context.selector.choose(this->context.upstreams, wanted, now);
     if(!choice) {
         co_return step::stop;
@@ -230,8 +231,7 @@
         co_return step::again;
     }
     // The first send is free; later ones draw on the budget of the fleet.
-    if(state.sends > 0u &&
-        !this->context.budget.take(state.service, this->live_nodes(), this->context.time.now())) {
+    if(state.sends > 0u && !this->context.budget.take(state.service, this->live_nodes(), this->context.time.now())) {
         state.path += ";no_budget";
         co_return step::stop;
     }
@@ -249,14 +249,15 @@
         .timeout_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(wait.count(), 1)),
         .may_wait = state.choices > choices_without_wait};
     auto version = co_await this->context.placement.ensure(std::move(wanted));
-    state.path += ";load@" + choice.upstream + ':' + std::string{version ? "ready" : core::to_string(version.error().cause)};
+    state.path +=
+        ";load@" + choice.upstream + ':' + std::string{version ? "ready" : core::to_string(version.error().cause)};
     if(!version) {
         state.last = std::move(version.error());
         state.last.verdict = state.verdict;
         co_return false;
     }
-    this->context.upstreams.observe_adapter(choice.upstream, state.terms.model, state.terms.adapter, true, *version,
-        this->context.time.now());
+    this->context.upstreams.observe_adapter(
+        choice.upstream, state.terms.model, state.terms.adapter, true, *version, this->context.time.now());
     co_return true;
 }
 
@@ -334,6 +335,10 @@
     state.path += ';' + upstream + ':' + std::string{core::to_string(failure.cause)};
     if(state.caller_gone) {
         state.outcome = "caller_gone";
+        state.last = core::error{.cause = core::reason::cancelled, .message = "the caller closed its connection"};
+        if(failure.verdict != core::verdict::not_run) {
+            state.verdict = core::verdict::may_have_run;
+        }
         return step::finished;
     }
     state.last = failure;
@@ -368,13 +373,13 @@
     const auto now = this->context.time.now();
     auto* known = this->context.upstreams.find(upstream);
     state.path += ';' + upstream + ":not_run_" + std::to_string(status);
-    state.last = core::error{.cause = core::reason::overloaded, .verdict = state.verdict,
+    state.last = core::error{.cause = core::reason::overloaded,
+        .verdict = state.verdict,
         .message = "the upstream refused the request with status " + std::to_string(status),
         .retry_after = retry_overload};
     if(terms.misdirected && !state.terms.adapter.empty()) {
         state.last.cause = core::reason::adapter_not_resident;
-        this->context.upstreams.observe_adapter(
-            upstream, state.terms.model, state.terms.adapter, false, 0u, now);
+        this->context.upstreams.observe_adapter(upstream, state.terms.model, state.terms.adapter, false, 0u, now);
     } else {
         state.excluded.insert(upstream);
         if(known != nullptr) {
@@ -397,7 +402,8 @@
     if(!terms.signed_by_upstream || terms.encoded || promises_not_run) {
         answer.close();
         co_return this->failed(state, upstream,
-            core::error{.cause = core::reason::protocol_error, .verdict = core::verdict::may_have_run,
+            core::error{.cause = core::reason::protocol_error,
+                .verdict = core::verdict::may_have_run,
                 .message = "status " + std::to_string(answer.status()) + " without the upstream's own body"});
     }
     if(state.target->streaming && success) {
@@ -416,7 +422,8 @@
         if(body.size() > whole_body_limit) {
             answer.close();
             co_return this->failed(state, upstream,
-                core::error{.cause = core::reason::protocol_error, .verdict = core::verdict::may_have_run,
+                core::error{.cause = core::reason::protocol_error,
+                    .verdict = core::verdict::may_have_run,
                     .message = "the body of the answer is too large"});
         }
     }
@@ -433,7 +440,8 @@
         state.excluded.insert(upstream);
         // This retry is paid for; the next send is not charged again.
         state.sends = 0u;
-        state.last = core::error{.cause = core::reason::unavailable, .verdict = core::verdict::ran,
+        state.last = core::error{.cause = core::reason::unavailable,
+            .verdict = core::verdict::ran,
             .message = "the upstream answered with status " + std::to_string(answer.status())};
         co_return step::again;
     }
@@ -448,7 +456,12 @@
     }
     state.status = answer.status();
     state.outcome = success ? "served" : "upstream_failure";
-    http::response whole{.status = answer.status(), .headers = this->context.format.caller_fields(answer.headers()),
+    if(!success) {
+        state.last = core::error{.cause = core::reason::unavailable,
+            .message = "the upstream answered with status " + std::to_string(answer.status())};
+    }
+    http::response whole{.status = answer.status(),
+        .headers = this->context.format.caller_fields(answer.headers()),
         .body = std::move(body)};
     if(const auto sent = co_await state.writer.send(std::move(whole)); !sent) {
         state.outcome = "caller_gone";
@@ -483,8 +496,8 @@
             state.head_sent = true;
             state.status = answer.status();
             state.first_event = this->context.time.now();
-            if(const auto sent = co_await state.writer.begin(
-                   answer.status(), this->context.format.caller_fields(answer.headers()));
+            if(const auto sent =
+                    co_await state.writer.begin(answer.status(), this->context.format.caller_fields(answer.headers()));
                 !sent) {
                 answer.close();
                 state.outcome = "caller_gone";
@@ -559,7 +572,8 @@
         .add("verdict", core::to_string(state.verdict))
         .add("ms", to_ms(now - state.begin).count());
     if(state.first_event) {
-        line.add("first_ms", to_ms(*state.first_event - state.begin).count()).add("gap_ms", to_ms(state.gap_max).count());
+        line.add("first_ms", to_ms(*state.first_event - state.begin).count())
+            .add("gap_ms", to_ms(state.gap_max).count());
     }
     if(state.outcome != "served") {
         line.add("reason", core::to_string(state.last.cause)).add("message", state.last.message);
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -52,6 +52,8 @@
 class forwarder final : public http::handler {
 public:
     explicit forwarder(forwarder_context context);
+    forwarder(const forwarder&) = delete;
+    forwarder& operator=(const forwarder&) = delete;
     ~forwarder() override;
 
     boost::asio::awaitable<void> handle(http::request message, http::response_writer& writer) override;
@@ -73,23 +75,24 @@
     [[nodiscard]] boost::asio::awaitable<step> send(exchange_state& state, const std::string& upstream);
     [[nodiscard]] boost::asio::awaitable<step> receive(
         exchange_state& state, const std::string& upstream, http::response_stream& answer);
-    [[nodiscard]] boost::asio::awaitable<step> pass_stream(exchange_state& state, const std::string& upstream,
-        http::response_stream& answer);
+    [[nodiscard]] boost::asio::awaitable<step> pass_stream(
+        exchange_state& state, const std::string& upstream, http::response_stream& answer);
     [[nodiscard]] step failed(exchange_state& state, const std::string& upstream, const core::error& failure);
-    [[nodiscard]] step not_run(exchange_state& state, const std::string& upstream, const answer_terms& terms,
-        unsigned status);
-    [[nodiscard]] boost::asio::awaitable<void> refuse(
-        exchange_state& state, unsigned status, core::error failure);
+    [[nodiscard]] step not_run(
+        exchange_state& state, const std::string& upstream, const answer_terms& terms, unsigned status);
+    [[nodiscard]] boost::asio::awaitable<void> refuse(exchange_state& state, unsigned status, core::error failure);
     [[nodiscard]] boost::asio::awaitable<void> give_up(exchange_state& state);
     [[nodiscard]] std::uint64_t oldest_version(const exchange_state& state) const;
     [[nodiscard]] std::size_t live_nodes() const;
     void log(const exchange_state& state);
 
     forwarder_context context;
+
     struct stop_times {
         core::time_point refuse_from{};
         core::time_point exit{};
     };
+
     std::optional<stop_times> stopping{};
 };
 
--- a/src/lagoonsaddle/edge/lease_tracker.cpp
+++ b/src/lagoonsaddle/edge/lease_tracker.cpp
@@ -67,7 +67,8 @@
 
 lease_action lease_tracker::next(holder_status status, std::optional<std::size_t> rank, core::time_point now) {
     const bool own = this->is_holder();
-    const bool due = this->last_read == core::time_point::min() || now - this->last_read >= this->settings.read_interval;
+    const bool due =
+        this->last_read == core::time_point::min() || now - this->last_read >= this->settings.read_interval;
     if(!this->read_once || own) {
         if(!due) {
             return lease_action::none;
--- a/src/lagoonsaddle/edge/lease_tracker.hpp
+++ b/src/lagoonsaddle/edge/lease_tracker.hpp
@@ -47,9 +47,9 @@
 /**
  * @brief One lease as one node sees it: who orders the loads of an availability zone's upstreams.
  *
- * A holder renews by reading the record, so that renewals are no writes. A successor acquires the lease by a conditional
- * write with a higher fencing token and waits before its first order. While the store cannot be reached, the holder
- * goes on only where the upstreams check fencing tokens. Not thread-safe.
+ * A holder renews by reading the record, so that renewals are no writes. A successor acquires the lease by a
+ * conditional write with a higher fencing token and waits before its first order. While the store cannot be reached,
+ * the holder goes on only where the upstreams check fencing tokens. Not thread-safe.
  */
 class lease_tracker {
 public:
--- a/src/lagoonsaddle/edge/model.hpp
+++ b/src/lagoonsaddle/edge/model.hpp
@@ -101,7 +101,8 @@
     std::string availability_zone{};
     /*! @brief Name of the node; empty when the lease was released. */
     std::string holder{};
-    /*! @brief Start of the holder's process, so that its successor under the same name has to acquire the lease anew. */
+    /*! @brief Start of the holder's process, so that its successor under the same name has to acquire the lease anew.
+     */
     std::uint64_t holder_boot{};
     std::uint64_t fencing_token{};
 };
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -115,8 +115,8 @@
         return found->second;
     }
     const auto* group = this->service_of(upstream);
-    auto state = std::make_shared<driver>(
-        driver{.ledger = slot_ledger{slot_ledger_options{.slots = group->adapter_slots}},
+    auto state =
+        std::make_shared<driver>(driver{.ledger = slot_ledger{slot_ledger_options{.slots = group->adapter_slots}},
             .wake = asio::steady_timer{this->context.io},
             .progress = asio::steady_timer{this->context.io, core_clock_end},
             .started_ms = this->context.upstreams.find(upstream)->entry.started_ms});
@@ -194,11 +194,10 @@
             const auto written = co_await this->context.store.write_lease(next.lease, next.revision);
             if(written) {
                 lease.acquired(*written, now, this->context.time.now());
-                this->context.log.write(
-                    log_line{"lease_acquired"}
-                        .add("zone", zone)
-                        .add("previous", previous)
-                        .add("token", static_cast<std::int64_t>(written->lease.fencing_token)));
+                this->context.log.write(log_line{"lease_acquired"}
+                                            .add("zone", zone)
+                                            .add("previous", previous)
+                                            .add("token", static_cast<std::int64_t>(written->lease.fencing_token)));
                 this->upstreams_changed();
             } else if(!this->releasing) {
                 this->context.log.write(log_line{"lease_not_acquired"}
@@ -245,8 +244,9 @@
         lease.observe_absent(this->context.time.now());
     }
     if(held && !lease.is_holder()) {
-        this->context.log.write(log_line{"lease_lost"}.add("zone", zone).add(
-            "holder", record != nullptr ? record->lease.holder : std::string{}));
+        this->context.log.write(log_line{"lease_lost"}
+                                    .add("zone", zone)
+                                    .add("holder", record != nullptr ? record->lease.holder : std::string{}));
     }
 }
 
@@ -530,8 +530,7 @@
     co_return true;
 }
 
-asio::awaitable<void> placement_service::give(
-    const std::string& upstream, driver& state, const ledger_order& order) {
+asio::awaitable<void> placement_service::give(const std::string& upstream, driver& state, const ledger_order& order) {
     const auto* known = this->context.upstreams.find(upstream);
     if(known == nullptr) {
         co_return;
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -98,6 +98,7 @@
         std::uint64_t version{};
         core::time_point at{};
     };
+
     [[nodiscard]] announced newest(std::string_view model, std::string_view adapter) const;
 
     /*! @brief Follows the availability zones of the known upstreams. */
@@ -113,11 +114,13 @@
         std::uint64_t started_ms{};
         /*! @brief When the last report that was taken over was asked for. */
         std::optional<core::time_point> reported{};
+
         /*! @brief Load that each node reported, with the time. */
         struct reported_load {
             wire::upstream_load load{};
             core::time_point at{};
         };
+
         std::map<std::string, reported_load> loads{};
         /*! @brief When the load of the base model was last ordered. */
         core::time_point model_ordered{};
--- a/src/lagoonsaddle/edge/protocol.hpp
+++ b/src/lagoonsaddle/edge/protocol.hpp
@@ -179,7 +179,8 @@
     upstream_control& operator=(const upstream_control&) = delete;
     virtual ~upstream_control() = default;
 
-    /*! @brief Gives an order. Without an answer, the error is `may_have_run`: the order may take effect seconds later. */
+    /*! @brief Gives an order. Without an answer, the error is `may_have_run`: the order may take effect seconds later.
+     */
     [[nodiscard]] virtual boost::asio::awaitable<core::result<order_outcome>> order(upstream_order value) = 0;
 
     /*! @brief Asks an upstream for its state. */
--- a/src/lagoonsaddle/edge/reader_roster.hpp
+++ b/src/lagoonsaddle/edge/reader_roster.hpp
@@ -22,7 +22,8 @@
  * @brief Tells whether a node watches the store with exact reads, which cost ten times as much as stale ones.
  *
  * The first nodes of each availability zone by rendezvous hashing do, and tell the others what is new. A node that is
- * cut off from its zone sees itself as one of the first. Answers a fleet whose calls grow faster than the store's rates.
+ * cut off from its zone sees itself as one of the first. Answers a fleet whose calls grow faster than the store's
+ * rates.
  *
  * @param self Name of the node.
  * @param zone Its availability zone.
--- a/src/lagoonsaddle/edge/record_watcher.cpp
+++ b/src/lagoonsaddle/edge/record_watcher.cpp
@@ -32,7 +32,8 @@
     if(complete) {
         co_return co_await this->store.list(this->settings.kind);
     }
-    co_return co_await this->store.watch(this->settings.kind, *this->revision, this->settings.wait, this->settings.age());
+    co_return co_await this->store.watch(
+        this->settings.kind, *this->revision, this->settings.wait, this->settings.age());
 }
 
 void record_watcher::note_failure(const core::error& failure) {
--- a/src/lagoonsaddle/edge/record_watcher.hpp
+++ b/src/lagoonsaddle/edge/record_watcher.hpp
@@ -22,7 +22,9 @@
     /*! @brief Time between two calls that returned changes, which are priced one by one. */
     std::chrono::milliseconds spacing{0};
     /*! @brief Decides for each watch how old its data may be. */
-    std::function<freshness()> age{[] { return freshness::exact; }};
+    std::function<freshness()> age{[] {
+        return freshness::exact;
+    }};
 };
 
 /*! @brief Receives the records of one kind. */
--- a/src/lagoonsaddle/edge/retry_budget.cpp
+++ b/src/lagoonsaddle/edge/retry_budget.cpp
@@ -32,7 +32,8 @@
     auto& entry = found->second;
     this->expire(entry, now);
     const auto share = this->settings.slack / static_cast<double>(std::max<std::size_t>(nodes, 1u));
-    const auto allowed = this->settings.safety * (this->settings.ratio * static_cast<double>(entry.requests.size()) + share);
+    const auto allowed =
+        this->settings.safety * (this->settings.ratio * static_cast<double>(entry.requests.size()) + share);
     if(static_cast<double>(entry.retries.size() + 1u) > allowed) {
         return false;
     }
--- a/src/lagoonsaddle/edge/route_table.cpp
+++ b/src/lagoonsaddle/edge/route_table.cpp
@@ -14,8 +14,8 @@
 }
 
 [[nodiscard]] bool same_host(std::string_view left, std::string_view right) {
-    return std::ranges::equal(left, right,
-        [](unsigned char one, unsigned char other) { return std::tolower(one) == std::tolower(other); });
+    return std::ranges::equal(
+        left, right, [](unsigned char one, unsigned char other) { return std::tolower(one) == std::tolower(other); });
 }
 
 } // namespace
--- a/src/lagoonsaddle/edge/slot_ledger.cpp
+++ b/src/lagoonsaddle/edge/slot_ledger.cpp
@@ -47,7 +47,8 @@
     std::map<std::string, arrival, std::less<>> arriving{};
     for(const auto& key : report.coming) {
         const auto previous = this->coming.find(key);
-        arriving.emplace(key, previous == this->coming.end() ? arrival{.version = 0u, .ordered = now, .confirm = now} : previous->second);
+        arriving.emplace(key,
+            previous == this->coming.end() ? arrival{.version = 0u, .ordered = now, .confirm = now} : previous->second);
     }
     this->coming = std::move(arriving);
     return true;
@@ -156,7 +157,8 @@
 
 bool slot_ledger::can_place(std::string_view model, std::string_view adapter, core::time_point now) const {
     const auto key = adapter_key(model, adapter);
-    return !this->known || this->unloading() || this->slots.contains(key) || this->coming.contains(key) || this->used_slots() < this->settings.slots || this->victim(now).has_value();
+    return !this->known || this->unloading() || this->slots.contains(key) || this->coming.contains(key) ||
+           this->used_slots() < this->settings.slots || this->victim(now).has_value();
 }
 
 std::optional<ledger_order> slot_ledger::next(core::time_point now) {
@@ -215,9 +217,8 @@
         }
         ++this->accepted;
         if(order.load) {
-            this->coming[key] = arrival{.version = order.version.value_or(0u),
-                .ordered = now,
-                .confirm = now + this->settings.cached_load};
+            this->coming[key] = arrival{
+                .version = order.version.value_or(0u), .ordered = now, .confirm = now + this->settings.cached_load};
         } else if(const auto found = this->slots.find(key); found != this->slots.end()) {
             found->second.unloading = true;
         }
--- a/src/lagoonsaddle/edge/upstream_selector.cpp
+++ b/src/lagoonsaddle/edge/upstream_selector.cpp
@@ -43,7 +43,8 @@
 constexpr double no_place_cost_ms{400.0};
 /*! @brief Age beyond which the reported load of the other nodes is ignored. */
 constexpr std::chrono::milliseconds peer_load_lifetime{2'000};
-/*! @brief Load that each other node is assumed to put on an upstream, in parts of this node's, while none is reported. */
+/*! @brief Load that each other node is assumed to put on an upstream, in parts of this node's, while none is reported.
+ */
 constexpr double peer_load_share{0.5};
 
 [[nodiscard]] bool fresh(const known_upstream& upstream, core::time_point now) {
--- a/src/lagoonsaddle/edge/upstream_table.hpp
+++ b/src/lagoonsaddle/edge/upstream_table.hpp
@@ -25,6 +25,7 @@
     unsigned in_flight{};
     /*! @brief Prompt tokens of this node's requests that have not had their first event yet. */
     std::uint64_t pending_tokens{};
+
     /*! @brief What the other nodes reported through the lease holder. */
     struct peer_load {
         std::uint64_t in_flight{};
@@ -32,17 +33,20 @@
         std::uint64_t free_places{};
         core::time_point at{};
     };
+
     std::optional<peer_load> peers{};
     /*! @brief When the upstream last refused a request because it was full. */
     core::time_point refused_at{core::time_point::min()};
     /*! @brief Set while the entry is missing after an outage of the store, until it counts as gone. */
     std::optional<core::time_point> missing_until{};
+
     /*! @brief What requests and orders showed about an adapter since the entry was written. */
     struct observation {
         bool resident{};
         std::uint64_t version{};
         core::time_point at{};
     };
+
     std::map<std::string, observation, std::less<>> observed{};
 
     /*! @brief Returns the version of an adapter that the upstream holds as far as known, or nothing. */
--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -4,12 +4,11 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <netinet/tcp.h>
 #include <optional>
 #include <string_view>
 #include <utility>
 
-#include <netinet/tcp.h>
-
 #include <lagoonsaddle/http/client.hpp>
 #include <lagoonsaddle/http/internal_beast.hpp>
 
@@ -95,8 +94,7 @@
     }
 
     /*! @brief Keeps a connection that the peer keeps for `peer_timeout`, or for an unstated time. */
-    void give(
-        const core::endpoint& target, tcp::socket socket, std::optional<std::chrono::milliseconds> peer_timeout) {
+    void give(const core::endpoint& target, tcp::socket socket, std::optional<std::chrono::milliseconds> peer_timeout) {
         const auto now = idle_clock::now();
         // Well before the peer's own time: a request that crosses the peer's close would be lost.
         const auto stated = peer_timeout.value_or(this->settings.idle_timeout);
@@ -175,7 +173,9 @@
     void attach(std::shared_ptr<exchange_control> value, std::function<void()> exchange_control::*hook) {
         this->control = std::move(value);
         this->control_hook = hook;
-        (*this->control).*hook = [this] { this->close(); };
+        (*this->control).*hook = [this] {
+            this->close();
+        };
     }
 
     asio::awaitable<core::result<void>> connect(std::chrono::milliseconds reuse_within) {
@@ -283,7 +283,7 @@
         }
     }
 
-    void write_beside(std::shared_ptr<beast_http::request<beast_http::string_body>> outgoing) {
+    void write_beside(const std::shared_ptr<beast_http::request<beast_http::string_body>>& outgoing) {
         this->writing = std::make_shared<pending_write>();
         beast_http::async_write(this->socket, *outgoing,
             [outgoing, state = this->writing](const boost::system::error_code& failure, std::size_t) {
--- a/test/edge/decision_log_test.cpp
+++ b/test/edge/decision_log_test.cpp
@@ -1,8 +1,8 @@
 #include <array>
 #include <string>
+#include <unistd.h>
 
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 #include <lagoonsaddle/edge/decision_log.hpp>
 
--- a/test/edge/entry_settings_test.cpp
+++ b/test/edge/entry_settings_test.cpp
@@ -55,9 +55,9 @@
         const char* value;
     };
 
-    for(const auto& [key, value] : {row{"name", "\"\""}, row{"listen_callers", "\"10.0.0.1\""},
-            row{"peer_port", "70000"}, row{"seeds", "\"x\""}, row{"upstreams_check_tokens", "1"},
-            row{"retry_ratio", "-0.1"}, row{"lease_time_s", "\"3\""}}) {
+    for(const auto& [key, value] :
+        {row{"name", "\"\""}, row{"listen_callers", "\"10.0.0.1\""}, row{"peer_port", "70000"}, row{"seeds", "\"x\""},
+            row{"upstreams_check_tokens", "1"}, row{"retry_ratio", "-0.1"}, row{"lease_time_s", "\"3\""}}) {
         const auto values = parse_entry_settings(this->with(key, value));
         REQUIRE_FALSE(values.has_value());
         CHECK(values.error().message.find(key) != std::string::npos);
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <chrono>
+#include <condition_variable>
 #include <future>
 #include <memory>
 #include <mutex>
@@ -37,7 +38,8 @@
         if(terms.id.empty()) {
             return core::fail(core::reason::invalid_argument, "the field id is missing");
         }
-        terms.deadline = std::chrono::milliseconds{std::stoi(std::string{message.headers.find("deadline").value_or("5000")})};
+        terms.deadline =
+            std::chrono::milliseconds{std::stoi(std::string{message.headers.find("deadline").value_or("5000")})};
         return terms;
     }
 
@@ -169,16 +171,29 @@
     void write(const log_line& line) override {
         const std::lock_guard lock{this->mutex};
         this->lines.push_back(line.text());
+        this->written.notify_all();
     }
 
     [[nodiscard]] bool contains(std::string_view text) {
         const std::lock_guard lock{this->mutex};
-        return std::ranges::any_of(
-            this->lines, [text](const std::string& line) { return line.find(text) != std::string::npos; });
+        return this->has(text);
+    }
+
+    /*! @brief Waits until a line contains a text; gives up after a long time. */
+    [[nodiscard]] bool wait_for(std::string_view text) {
+        std::unique_lock lock{this->mutex};
+        return this->written.wait_for(lock, 30s, [this, text] { return this->has(text); });
     }
 
     std::mutex mutex{};
+    std::condition_variable written{};
     std::vector<std::string> lines{};
+
+private:
+    [[nodiscard]] bool has(std::string_view text) const {
+        return std::ranges::any_of(
+            this->lines, [text](const std::string& line) { return line.find(text) != std::string::npos; });
+    }
 };
 
 /*! @brief A forwarder before two scripted upstreams; the node's thread is the only one that touches its state. */
@@ -209,8 +224,12 @@
             this->upstreams.update(entry, this->clock.now());
         }
         REQUIRE(this->caller_server.start().has_value());
-        this->node = std::thread{[this] { this->context.run(); }};
-        this->callers = std::thread{[this] { this->caller_context.run(); }};
+        this->node = std::thread{[this] {
+            this->context.run();
+        }};
+        this->callers = std::thread{[this] {
+            this->caller_context.run();
+        }};
     }
 
     forwarder_fixture(const forwarder_fixture&) = delete;
@@ -235,9 +254,7 @@
     }
 
     [[nodiscard]] core::result<http::response> send(http::request message) {
-        return asio::co_spawn(
-            this->caller_context, this->exchange(std::move(message)), asio::use_future)
-            .get();
+        return asio::co_spawn(this->caller_context, this->exchange(std::move(message)), asio::use_future).get();
     }
 
     [[nodiscard]] asio::awaitable<core::result<http::response>> exchange(http::request message) {
@@ -288,16 +305,15 @@
         std::make_shared<gateway::membership_service>(context, clock, fleet::membership_settings{})};
     gateway::peer_directory peers{context, *membership, wire::hello{.node = "n"}};
     gateway::quarantine_service quarantine{{.crashes_until_quarantine = 3u}, *membership, peers};
-    std::shared_ptr<placement_service> placement{std::make_shared<placement_service>(
-        placement_context{.io = context,
-            .time = clock,
-            .log = log,
-            .store = store,
-            .control = control,
-            .routes = routes,
-            .upstreams = upstreams,
-            .membership = *membership,
-            .peers = peers},
+    std::shared_ptr<placement_service> placement{std::make_shared<placement_service>(placement_context{.io = context,
+                                                                                         .time = clock,
+                                                                                         .log = log,
+                                                                                         .store = store,
+                                                                                         .control = control,
+                                                                                         .routes = routes,
+                                                                                         .upstreams = upstreams,
+                                                                                         .membership = *membership,
+                                                                                         .peers = peers},
         placement_options{.self = "n"})};
     forwarder requests{forwarder_context{.time = clock,
         .log = log,
@@ -319,8 +335,8 @@
 
 } // namespace
 
-// Guards, by a table of upstream behaviour, against a request that runs twice, a refusal of one that may have run, and a
-// failure of one that could have been sent elsewhere.
+// Guards, by a table of upstream behaviour, against a request that runs twice, a refusal of one that may have run, and
+// a failure of one that could have been sent elsewhere.
 TEST_CASE_FIXTURE(forwarder_fixture, "handle_table_of_failures_returns_status_and_sends") {
     struct row {
         const char* route;
@@ -399,6 +415,8 @@
         asio::use_future);
     left.get();
     CHECK(gone.wait_for(10s) == std::future_status::ready);
+    // Guards against a log that says not_run of a request that an upstream had begun.
+    CHECK(this->log.wait_for("outcome=caller_gone verdict=may_have_run"));
 }
 
 // Guards against a request that waits although it is known that nothing can serve it, and against an untrue refusal.
--- a/test/edge/record_watcher_test.cpp
+++ b/test/edge/record_watcher_test.cpp
@@ -80,9 +80,12 @@
 
 struct record_watcher_fixture {
     void run() {
-        record_watcher watcher{this->store, this->observer, this->clock, this->log,
-            {.kind = record_kind::upstreams, .age = [this] { return this->age; }}};
-        asio::co_spawn(this->context, [&watcher] { return watcher.run(); }, asio::detached);
+        record_watcher watcher{
+            this->store, this->observer, this->clock, this->log, {.kind = record_kind::upstreams, .age = [this] {
+                                                                      return this->age;
+                                                                  }}};
+        asio::co_spawn(
+            this->context, [&watcher] { return watcher.run(); }, asio::detached);
         this->context.run();
     }
 
--- a/test/edge/upstream_selector_test.cpp
+++ b/test/edge/upstream_selector_test.cpp
@@ -1,5 +1,6 @@
 #include <set>
 #include <string>
+#include <utility>
 
 #include <doctest/doctest.h>
 
@@ -15,7 +16,9 @@
     upstream_selector_fixture() {
         for(const std::string zone : {"z1", "z2"}) {
             for(const std::string number : {"1", "2", "3"}) {
-                upstream_entry entry{.id = zone + "-" + number, .service = "s", .availability_zone = zone, .slots = 8u};
+                std::string id{zone};
+                id.append("-").append(number);
+                upstream_entry entry{.id = std::move(id), .service = "s", .availability_zone = zone, .slots = 8u};
                 entry.models["m"].version = 1u;
                 this->table.update(entry, this->now);
             }
@@ -81,7 +84,9 @@
 TEST_CASE_FIXTURE(upstream_selector_fixture, "choose_zone_without_loader_loads_elsewhere") {
     const auto home = this->choose(this->wanted);
     const auto zone = home.substr(0u, 2u);
-    this->wanted.can_load = [&zone](std::string_view candidate) { return candidate != zone; };
+    this->wanted.can_load = [&zone](std::string_view candidate) {
+        return candidate != zone;
+    };
     CHECK(this->choose(this->wanted).substr(0u, 2u) != zone);
 }
 
--- a/test/host_platform/record_codec_test.cpp
+++ b/test/host_platform/record_codec_test.cpp
@@ -1,16 +1,14 @@
+#include <platform/record_codec.hpp>
 #include <string>
 
 #include <doctest/doctest.h>
 
-#include <platform/record_codec.hpp>
-
 namespace lagoonsaddle::host_platform {
 
 namespace {
 
 [[nodiscard]] edge::record_change decode(edge::record_kind kind, const std::string& spec) {
-    return decode_object(
-        kind, nlohmann::json::parse(R"({"metadata":{"name":"x","revision":9},"spec":)" + spec + "}"));
+    return decode_object(kind, nlohmann::json::parse(R"({"metadata":{"name":"x","revision":9},"spec":)" + spec + "}"));
 }
 
 } // namespace
@@ -24,14 +22,15 @@
 
     const std::string valid{
         R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","born":17,"seq":4})"};
-    for(const auto& [spec, readable] : {row{valid.c_str(), true}, row{"null", false}, row{"[]", false}, row{"{}", false},
-            row{R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"unheard-of"})", false},
+    for(const auto& [spec, readable] : {row{valid.c_str(), true}, row{"null", false}, row{"[]", false},
+            row{"{}", false}, row{R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"unheard-of"})", false},
             row{R"({"service":7,"address":"10.0.0.1:80","zone":"z","state":"ready"})", false},
             row{R"({"service":"s","address":"10.0.0.1","zone":"z","state":"ready"})", false},
             row{R"({"service":"s","address":"10.0.0.1:99999","zone":"z","state":"ready"})", false},
             row{R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining","slots":"many"})", true}}) {
         CAPTURE(spec);
-        CHECK(std::holds_alternative<edge::upstream_entry>(decode(edge::record_kind::upstreams, spec).value) == readable);
+        CHECK(
+            std::holds_alternative<edge::upstream_entry>(decode(edge::record_kind::upstreams, spec).value) == readable);
     }
     const auto change = decode(edge::record_kind::upstreams, valid);
     const auto& entry = std::get<edge::upstream_entry>(change.value);
@@ -90,10 +89,11 @@
 
 // Guards against an order without its condition, which could take effect after newer ones.
 TEST_CASE("encode_order_adapter_carries_condition_and_token") {
-    const edge::upstream_order order{.model = "m", .adapter = "a3", .expected_orders = 2u, .holder = "n", .fencing_token = 41u};
+    const edge::upstream_order order{
+        .model = "m", .adapter = "a3", .expected_orders = 2u, .holder = "n", .fencing_token = 41u};
     const auto body = nlohmann::json::parse(encode_order(order));
     CHECK(body == nlohmann::json::parse(
-        R"({"operation":"load","model":"m","adapter":"a3","precondition":2,"holder":"n","fence":41})"));
+                      R"({"operation":"load","model":"m","adapter":"a3","precondition":2,"holder":"n","fence":41})"));
 }
 
 TEST_CASE("encode_lease_round_trip_returns_lease") {
--- a/test/host_platform/request_format_test.cpp
+++ b/test/host_platform/request_format_test.cpp
@@ -1,7 +1,7 @@
-#include <doctest/doctest.h>
-
 #include <platform/request_format.hpp>
 
+#include <doctest/doctest.h>
+
 namespace lagoonsaddle::host_platform {
 
 namespace {
--- a/test/http/loopback_test.cpp
+++ b/test/http/loopback_test.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
@@ -180,4 +181,48 @@
     CHECK(this->call("/echo", "alive")->body == "alive");
 }
 
+// Guards against a caller that waits for leave to send its body until its timeout.
+TEST_CASE_FIXTURE(loopback_fixture, "server_expectation_sends_continue_first") {
+    const auto answer = this->raw_exchange(
+        "POST /echo HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\nconnection: close\r\ncontent-length: 2\r\n\r\nhi");
+    CHECK(answer.find("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200") == 0u);
+}
+
+// Guards against a planned stop that refuses connections which the balancer still sends, or keeps them open.
+TEST_CASE_FIXTURE(loopback_fixture, "server_drain_answers_and_closes_connection") {
+    this->listener.begin_drain();
+    const auto answer = this->raw_exchange("GET /echo HTTP/1.1\r\nhost: a\r\n\r\n");
+    CHECK(answer.find("HTTP/1.1 200") == 0u);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+}
+
+// Guards against an answer that is lost, or a writer that blocks, when the peer answers before it has read a long body.
+TEST_CASE_FIXTURE(loopback_fixture, "client_answer_before_end_of_body_is_received") {
+    const auto answer = this->call("/echo", std::string(8u * 1024u * 1024u, 'x'));
+    REQUIRE(answer.has_value());
+    CHECK(answer->status == 413u);
+    CHECK(this->call("/echo", "next")->body == "next");
+}
+
+// Guards against an answer to an earlier request that is taken for the answer to the next one.
+TEST_CASE_FIXTURE(loopback_fixture, "client_foreign_head_is_skipped") {
+    asio::ip::tcp::acceptor acceptor{this->context, {asio::ip::make_address("127.0.0.1"), 0u}};
+    const auto port = acceptor.local_endpoint().port();
+    auto served = std::async(std::launch::async, [&acceptor] {
+        auto socket = acceptor.accept();
+        std::string received{};
+        asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n");
+        asio::write(socket, asio::buffer(std::string{"HTTP/1.1 200 OK\r\nid: old\r\ncontent-length: 3\r\n\r\nold"
+                                                     "HTTP/1.1 200 OK\r\nid: new\r\ncontent-length: 3\r\n\r\nnew"}));
+    });
+    exchange_options options{};
+    options.accepts = [](unsigned, const fields& headers) {
+        return headers.find("id") == "new";
+    };
+    auto opened = this->await(this->requester.open({.address = "127.0.0.1", .port = port}, request{}, options));
+    REQUIRE(opened.has_value());
+    CHECK((*opened)->headers().find("id") == "new");
+    served.get();
+}
+
 } // namespace lagoonsaddle::http
