--- a/test/platform_node/entry_node_test.py
+++ b/test/platform_node/entry_node_test.py
@@ -65,6 +65,11 @@
         self.log.close()
         os.unlink(self.settings)
 
+    def listening(self):
+        """Tells whether the process accepts connections of callers."""
+        with socket.socket() as probe:
+            return probe.connect_ex((self.ip, self.ports[0])) == 0
+
     def ready(self):
         """Asks the readiness question."""
         try:
@@ -110,6 +115,7 @@
         """Starts a node; all nodes join through the first."""
         seeds = [self.nodes[0].ip] if self.nodes else None
         self.nodes.append(Node(self.store, f"n{len(self.nodes)}", self.ports, seeds))
+        self.eventually(self.nodes[-1].listening, "the node listens")
         return self.nodes[-1]
 
     def eventually(self, condition, what):
