--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -40,7 +40,6 @@
     gateway::quarantine_service& quarantine;
     gateway::membership_service& membership;
     operate::metrics_registry& metrics;
-    std::string node{};
 };
 
 /**
--- a/src/lagoonsaddle/edge/model.hpp
+++ b/src/lagoonsaddle/edge/model.hpp
@@ -49,15 +49,10 @@
 /*! @brief A group of upstreams that serve the same requests. */
 struct service {
     std::string name{};
-    unsigned connections_max{};
     /*! @brief Places for adapters per upstream; 0 for a plain service. */
     unsigned adapter_slots{};
     /*! @brief Names of the base models; empty for a plain service. */
     std::vector<std::string> models{};
-    /*! @brief Base models that one upstream may load per second, over the whole service. */
-    double model_loads_per_second{};
-    /*! @brief Time to load the largest base model from the weight store. */
-    std::chrono::milliseconds model_load_time{};
 };
 
 /*! @brief One version of the operator's configuration. */
--- a/src/lagoonsaddle/edge/protocol.hpp
+++ b/src/lagoonsaddle/edge/protocol.hpp
@@ -50,9 +50,6 @@
     /*! @brief Makes a response of the node itself. A retry-after time is sent only with the verdict `not_run`. */
     [[nodiscard]] virtual http::response make_refusal(
         unsigned status, const core::error& failure, std::string_view request_id) const = 0;
-
-    /*! @brief Tells whether a request asks for the readiness of the node. */
-    [[nodiscard]] virtual bool asks_readiness(const http::request& message) const = 0;
 };
 
 /*! @brief Kinds of records in the platform's store that the node reads. */
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -70,10 +70,6 @@
         unsigned status, const core::error& failure, std::string_view request_id) const override {
         return http::json_response(status, http::error_body(failure, request_id));
     }
-
-    [[nodiscard]] bool asks_readiness(const http::request&) const override {
-        return false;
-    }
 };
 
 /*! @brief Upstream that answers each request by the next step of a script. */
@@ -326,8 +322,7 @@
         .placement = *placement,
         .quarantine = quarantine,
         .membership = *membership,
-        .metrics = metrics,
-        .node = "n"}};
+        .metrics = metrics}};
     http::server caller_server{context, requests, http::server_options{}};
     std::thread node{};
     std::thread callers{};
