--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -107,7 +107,7 @@
     }
 };
 
-forwarder::forwarder(forwarder_context uses) : context{std::move(uses)} {}
+forwarder::forwarder(forwarder_context uses) : context{uses} {}
 
 forwarder::~forwarder() = default;
 
