gateway: check the numeric fields of a request before it is sent

Cause: max_tokens of -5 or 1e12 was handed on and held a place in a batch until the deadline; "x" and 1.5 were taken in silence, and 0 was answered with a token.

Each numeric field of a completion or chat body now has a range; a value outside of it is answered 400 with the field and its range. The limit of max_tokens is a setting.

--- a/src/lagoonsaddle/gateway/caller_request.cpp
+++ b/src/lagoonsaddle/gateway/caller_request.cpp
@@ -5,6 +5,7 @@
 
 #include <lagoonsaddle/core/model_name.hpp>
 #include <lagoonsaddle/gateway/caller_request.hpp>
+#include <lagoonsaddle/gateway/generation_fields.hpp>
 #include <lagoonsaddle/http/json.hpp>
 
 namespace lagoonsaddle::gateway {
@@ -85,7 +86,7 @@
     return {};
 }
 
-[[nodiscard]] core::result<void> read_model_call(caller_request& target) {
+[[nodiscard]] core::result<void> read_model_call(const caller_request_limits& limits, caller_request& target) {
     const auto body = http::parse_json(target.body);
     if(!body || !body->is_object()) {
         return core::fail(core::reason::invalid_argument, "the body must be a JSON object");
@@ -107,6 +108,9 @@
     if(stream != body->end() && !stream->is_boolean()) {
         return core::fail(core::reason::invalid_argument, "field \"stream\" must be true or false");
     }
+    if(const auto checked = check_generation_fields(*body, limits.max_output_tokens); !checked) {
+        return tl::make_unexpected(checked.error());
+    }
     target.streamed = stream != body->end() && stream->get<bool>();
     target.base_model = parsed->base_model();
     target.adapter = parsed->adapter();
@@ -155,7 +159,7 @@
         return tl::make_unexpected(read.error());
     }
     request.body = std::move(message.body);
-    const auto read = is_service ? read_service_call(message.target, request) : read_model_call(request);
+    const auto read = is_service ? read_service_call(message.target, request) : read_model_call(limits, request);
     if(!read) {
         return tl::make_unexpected(read.error());
     }
--- a/src/lagoonsaddle/gateway/caller_request.hpp
+++ b/src/lagoonsaddle/gateway/caller_request.hpp
@@ -2,6 +2,7 @@
 #define LAGOONSADDLE_GATEWAY_CALLER_REQUEST_HPP
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -39,6 +40,8 @@
 struct caller_request_limits {
     std::chrono::milliseconds default_deadline{30'000};
     std::chrono::milliseconds max_deadline{120'000};
+    /*! @brief Most tokens that a request may ask for. */
+    std::uint64_t max_output_tokens{16'384u};
 };
 
 /**
--- a/src/lagoonsaddle/gateway/node.cpp
+++ b/src/lagoonsaddle/gateway/node.cpp
@@ -95,8 +95,9 @@
     caller_handler_options options{.node = values.node.name,
         .boot_id = boot_id,
         .availability_zone = values.node.availability_zone,
-        .limits = {
-            .default_deadline = values.caller_api.default_deadline, .max_deadline = values.caller_api.max_deadline}};
+        .limits = {.default_deadline = values.caller_api.default_deadline,
+            .max_deadline = values.caller_api.max_deadline,
+            .max_output_tokens = values.caller_api.max_output_tokens}};
     options.retries.budget_share = values.policy.retry_budget_ratio;
     options.retries.budget_max = retry_budget_max;
     return options;
@@ -235,7 +236,7 @@
 /*! @brief Tells the journal which nodes are gone: declared dead, left, or started again under another boot id. */
 class node::claimants final : public journal::claimant_directory {
 public:
-    explicit claimants(const membership_service& source) : membership{source} {}
+    explicit claimants(const cluster::membership_service& source) : membership{source} {}
 
     [[nodiscard]] bool is_gone(std::string_view claimant) const override {
         const auto slash = claimant.rfind('/');
@@ -252,7 +253,7 @@
     }
 
 private:
-    const membership_service& membership;
+    const cluster::membership_service& membership;
 };
 
 node::node(
@@ -266,7 +267,7 @@
       objects{this->requester, clock,
           platform::http_object_store_options{
               .server = this->values.platform.object_store, .call_timeout = this->values.platform.timeout}},
-      members{std::make_shared<membership_service>(io, clock, membership_options(this->values.membership))},
+      members{std::make_shared<cluster::membership_service>(io, clock, membership_options(this->values.membership))},
       connections{io, *this->members,
           wire::hello{.node = this->values.node.name, .availability_zone = this->values.node.availability_zone}},
       directory{fixed_upstreams(this->values)},
--- a/src/lagoonsaddle/settings/node_settings.hpp
+++ b/src/lagoonsaddle/settings/node_settings.hpp
@@ -26,6 +26,7 @@
     std::chrono::milliseconds request_timeout{15'000};
     std::chrono::milliseconds default_deadline{30'000};
     std::chrono::milliseconds max_deadline{120'000};
+    std::uint32_t max_output_tokens{16'384u};
 };
 
 /*! @brief HTTP interface towards operators. */
