operate: explain a request from the logs of several nodes

`lagoonsaddle explain REQUEST_ID LOG...` reads logs of entry nodes (files or standard input) and prints the way of one request as a timeline with its cause, as text or JSON.

Tests: parsing, a crash of an upstream, a refusal while stopping, a failed load, and a last line that is missing.

--- a/src/lagoonsaddle/operate/command_line.cpp
+++ b/src/lagoonsaddle/operate/command_line.cpp
@@ -20,6 +20,7 @@
 #include <lagoonsaddle/http/client.hpp>
 #include <lagoonsaddle/http/json.hpp>
 #include <lagoonsaddle/operate/command_line.hpp>
+#include <lagoonsaddle/operate/explain_logs.hpp>
 #include <lagoonsaddle/operate/token_check.hpp>
 
 namespace lagoonsaddle::operate {
@@ -41,7 +42,7 @@
   lagoonsaddle nodes [options]
   lagoonsaddle upstreams [options]
   lagoonsaddle adapters [options]
-  lagoonsaddle explain <request_id> [options]
+  lagoonsaddle explain <request_id> [LOG ...] [options]
   lagoonsaddle events [--after=SEQUENCE] [--limit=N] [options]
   lagoonsaddle dump [options]
   lagoonsaddle drain UPSTREAM [--undo] [options]
@@ -50,7 +51,7 @@
 
 FILE is a rule set as in docs/rules.md or the output of `rules list --json`; `-` reads standard input. `rules apply`
 takes the expected version from --expected-version or from the file. `drain` adds a rule that drains the upstream, and
-`drain --undo` removes it.
+`drain --undo` removes it. `explain` asks the node, or reads log files of entry nodes instead (`-` reads standard input).
 
 Options:
   --node=ADDRESS:PORT     Operator interface of a node [default: 127.0.0.1:8081].
@@ -524,6 +525,10 @@
 exit_code command_line::run(const std::vector<std::string>& arguments) {
     try {
         const auto parsed = docopt::docopt_parse(usage_text, arguments, true, true);
+        if(const auto& logs = parsed.at("LOG").asStringList(); !logs.empty()) {
+            return explain_logs(parsed.at("<request_id>").asString(), logs, parsed.at("--json").asBool(), std::cin,
+                this->out, this->error);
+        }
         return session{parsed, this->out, this->error}.run();
     } catch(const docopt::DocoptExitHelp&) {
         this->out << usage_text;
--- /dev/null
+++ b/test/operate/log_timeline_test.cpp
@@ -0,0 +1,123 @@
+#include <sstream>
+#include <string>
+#include <string_view>
+
+#include <doctest/doctest.h>
+
+#include <lagoonsaddle/operate/log_timeline.hpp>
+
+namespace lagoonsaddle::operate {
+
+namespace {
+
+struct log_timeline_fixture {
+    void read(std::string_view text, std::string_view node) {
+        std::istringstream input{std::string{text}};
+        this->timeline.read(input, node);
+    }
+
+    [[nodiscard]] bool shows(std::string_view event) const {
+        const auto explained = this->timeline.explain();
+        for(const auto& line : explained.at("timeline")) {
+            if(line.at("event") == event) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    [[nodiscard]] std::string cause() const {
+        return this->timeline.explain().at("cause").get<std::string>();
+    }
+
+    log_timeline timeline{"r1"};
+};
+
+} // namespace
+
+// Guards against values with spaces that are cut, and against the node of an event that replaces the node of the line.
+TEST_CASE_FIXTURE(log_timeline_fixture, "parse_log_line_quoted_and_prefixed_returns_all_fields") {
+    const auto record = parse_log_line(
+        R"(12.5 front-a| time_ms=42 node=front-a event=member node=front-b message="a = b" empty="")", "-");
+    REQUIRE(record.has_value());
+    CHECK(record->time_ms == 42);
+    CHECK(record->node == "front-a");
+    CHECK(record->event == "member");
+    CHECK(record->find("node") == "front-b");
+    CHECK(record->find("message") == "a = b");
+    CHECK(record->find("empty").empty());
+    CHECK(record->find("absent").empty());
+}
+
+// Guards against other output of a process that is taken for a decision.
+TEST_CASE_FIXTURE(log_timeline_fixture, "parse_log_line_other_text_returns_nothing") {
+    for(const auto* line : {"", "hello", "time_ms=5", "time_ms=x event=start", "event=start", "time_ms="}) {
+        CAPTURE(line);
+        CHECK_FALSE(parse_log_line(line, "-").has_value());
+    }
+}
+
+// Guards against a crash of an upstream that is not named as the cause, and against decisions of other requests in the
+// timeline.
+TEST_CASE_FIXTURE(log_timeline_fixture, "explain_upstream_crashed_names_upstream_and_leaves_out_the_rest") {
+    this->read("time_ms=100000 event=sent id=r1 upstream=i-1\n"
+               "time_ms=100010 event=sent id=r2 upstream=i-2\n"
+               "time_ms=100200 event=request id=r1 adapter=a1 path=;i-1:connection_lost status=502 outcome=refused "
+               "verdict=may_have_run ms=250 reason=connection_lost message=reset\n",
+        "front-a");
+    this->read("time_ms=100900 event=upstream_gone upstream=i-1 source=store\n"
+               "time_ms=100900 event=upstream_gone upstream=i-2 source=store\n"
+               "time_ms=100050 event=stop active=3\n"
+               "time_ms=109000 event=upstream_gone upstream=i-1\n",
+        "front-b");
+    REQUIRE(this->timeline.found());
+    const auto explained = this->timeline.explain();
+    CHECK(explained.at("complete") == true);
+    CHECK(explained.at("outcome") == "refused");
+    CHECK(explained.at("timeline").size() == 3u);
+    CHECK(explained.at("timeline").at(0).at("offset_ms") == 50);
+    CHECK(explained.at("timeline").at(2).at("node") == "front-b");
+    CHECK(this->cause().find("ended the connection") != std::string::npos);
+    CHECK(this->cause().find("i-1 was gone") != std::string::npos);
+    CHECK(this->cause().find("i-2") == std::string::npos);
+}
+
+// Guards against a stop of another node, or of an earlier hour, that is given as the cause of a refusal.
+TEST_CASE_FIXTURE(log_timeline_fixture, "explain_refused_while_stopping_names_stop_of_own_node_only") {
+    this->read("time_ms=10000 event=stop active=1\n"
+               "time_ms=100000 event=store_lost kind=leases\n"
+               "time_ms=103000 event=request id=r1 path=\"\" status=503 outcome=refused verdict=not_run ms=0 "
+               "reason=draining\n",
+        "front-a");
+    this->read("time_ms=102000 event=stop active=1\n", "front-b");
+    CHECK_FALSE(this->shows("stop"));
+    CHECK(this->shows("store_lost"));
+    this->read("time_ms=101000 event=stop active=1\n", "front-a");
+    CHECK(this->shows("stop"));
+    CHECK(this->cause().find("told to stop") != std::string::npos);
+}
+
+// Guards against a load that failed without the orders and the lease that explain it.
+TEST_CASE_FIXTURE(log_timeline_fixture, "explain_load_failed_shows_orders_of_the_adapter_and_leases") {
+    this->read("time_ms=5000 event=load id=r1 upstream=i-1 outcome=timeout ms=900\n"
+               "time_ms=5100 event=request id=r1 adapter=a1 path=;load@i-1:timeout status=503 outcome=refused ms=1000 "
+               "reason=timeout\n",
+        "front-a");
+    this->read("time_ms=4500 event=order upstream=i-1 operation=load adapter=m/a1 outcome=timeout\n"
+               "time_ms=4600 event=order upstream=i-1 operation=load adapter=m/a11 outcome=accepted\n"
+               "time_ms=4700 event=lease_acquired zone=z\n",
+        "front-b");
+    CHECK(this->timeline.explain().at("timeline").size() == 4u);
+    CHECK(this->shows("lease_acquired"));
+}
+
+// Guards against a cause that is made up when the node ended before it wrote the last line.
+TEST_CASE_FIXTURE(log_timeline_fixture, "explain_last_line_missing_says_so") {
+    this->read("time_ms=5000 event=sent id=r1 upstream=i-1\n", "front-a");
+    CHECK(this->timeline.explain().at("complete") == false);
+    CHECK(this->cause().find("missing") != std::string::npos);
+    log_timeline unknown{"r9"};
+    CHECK_FALSE(unknown.found());
+}
+
+} // namespace lagoonsaddle::operate
