--- a/src/lagoonsaddle/gateway/membership_service.cpp
+++ b/src/lagoonsaddle/cluster/membership_service.cpp
@@ -11,9 +11,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <lagoonsaddle/gateway/membership_service.hpp>
+#include <lagoonsaddle/cluster/membership_service.hpp>
 
-namespace lagoonsaddle::gateway {
+namespace lagoonsaddle::cluster {
 
 namespace asio = boost::asio;
 using udp = asio::ip::udp;
@@ -242,4 +242,4 @@
     }
 }
 
-} // namespace lagoonsaddle::gateway
+} // namespace lagoonsaddle::cluster
--- a/src/lagoonsaddle/gateway/membership_service.hpp
+++ b/src/lagoonsaddle/cluster/membership_service.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONSADDLE_GATEWAY_MEMBERSHIP_SERVICE_HPP
-#define LAGOONSADDLE_GATEWAY_MEMBERSHIP_SERVICE_HPP
+#ifndef LAGOONSADDLE_CLUSTER_MEMBERSHIP_SERVICE_HPP
+#define LAGOONSADDLE_CLUSTER_MEMBERSHIP_SERVICE_HPP
 
 #include <array>
 #include <cstdint>
@@ -20,7 +20,7 @@
 #include <lagoonsaddle/core/error.hpp>
 #include <lagoonsaddle/fleet/membership.hpp>
 
-namespace lagoonsaddle::gateway {
+namespace lagoonsaddle::cluster {
 
 /*! @brief Runs the membership protocol over UDP. Thread-safe. */
 class membership_service : public std::enable_shared_from_this<membership_service> {
@@ -113,6 +113,6 @@
     bool stopped{false};
 };
 
-} // namespace lagoonsaddle::gateway
+} // namespace lagoonsaddle::cluster
 
 #endif
--- a/src/lagoonsaddle/gateway/peer_directory.cpp
+++ b/src/lagoonsaddle/cluster/peer_directory.cpp
@@ -2,9 +2,9 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 
-#include <lagoonsaddle/gateway/peer_directory.hpp>
+#include <lagoonsaddle/cluster/peer_directory.hpp>
 
-namespace lagoonsaddle::gateway {
+namespace lagoonsaddle::cluster {
 
 namespace asio = boost::asio;
 
@@ -81,4 +81,4 @@
     return current;
 }
 
-} // namespace lagoonsaddle::gateway
+} // namespace lagoonsaddle::cluster
--- a/src/lagoonsaddle/gateway/peer_directory.hpp
+++ b/src/lagoonsaddle/cluster/peer_directory.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONSADDLE_GATEWAY_PEER_DIRECTORY_HPP
-#define LAGOONSADDLE_GATEWAY_PEER_DIRECTORY_HPP
+#ifndef LAGOONSADDLE_CLUSTER_PEER_DIRECTORY_HPP
+#define LAGOONSADDLE_CLUSTER_PEER_DIRECTORY_HPP
 
 #include <map>
 #include <memory>
@@ -11,10 +11,10 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <lagoonsaddle/gateway/membership_service.hpp>
+#include <lagoonsaddle/cluster/membership_service.hpp>
 #include <lagoonsaddle/wire/peer_client.hpp>
 
-namespace lagoonsaddle::gateway {
+namespace lagoonsaddle::cluster {
 
 /*! @brief Connections to the other nodes, by node name. Thread-safe. */
 class peer_directory {
@@ -73,6 +73,6 @@
     std::map<std::string, entry, std::less<>> entries{};
 };
 
-} // namespace lagoonsaddle::gateway
+} // namespace lagoonsaddle::cluster
 
 #endif
--- a/src/lagoonsaddle/gateway/quarantine_service.cpp
+++ b/src/lagoonsaddle/cluster/quarantine_service.cpp
@@ -1,12 +1,12 @@
 #include <chrono>
 #include <utility>
 
+#include <lagoonsaddle/cluster/quarantine_service.hpp>
 #include <lagoonsaddle/core/clock.hpp>
-#include <lagoonsaddle/gateway/quarantine_service.hpp>
 #include <lagoonsaddle/wire/codec.hpp>
 #include <lagoonsaddle/wire/messages.hpp>
 
-namespace lagoonsaddle::gateway {
+namespace lagoonsaddle::cluster {
 
 quarantine_service::quarantine_service(
     policy::crash_quarantine_options options, membership_service& members, peer_directory& connections)
@@ -77,4 +77,4 @@
         .lifetime = record.until - core::unix_time()});
 }
 
-} // namespace lagoonsaddle::gateway
+} // namespace lagoonsaddle::cluster
--- a/src/lagoonsaddle/gateway/quarantine_service.hpp
+++ b/src/lagoonsaddle/cluster/quarantine_service.hpp
@@ -1,5 +1,5 @@
-#ifndef LAGOONSADDLE_GATEWAY_QUARANTINE_SERVICE_HPP
-#define LAGOONSADDLE_GATEWAY_QUARANTINE_SERVICE_HPP
+#ifndef LAGOONSADDLE_CLUSTER_QUARANTINE_SERVICE_HPP
+#define LAGOONSADDLE_CLUSTER_QUARANTINE_SERVICE_HPP
 
 #include <cstdint>
 #include <mutex>
@@ -9,12 +9,12 @@
 #include <string_view>
 #include <vector>
 
+#include <lagoonsaddle/cluster/membership_service.hpp>
+#include <lagoonsaddle/cluster/peer_directory.hpp>
 #include <lagoonsaddle/fleet/member.hpp>
-#include <lagoonsaddle/gateway/membership_service.hpp>
-#include <lagoonsaddle/gateway/peer_directory.hpp>
 #include <lagoonsaddle/policy/crash_quarantine.hpp>
 
-namespace lagoonsaddle::gateway {
+namespace lagoonsaddle::cluster {
 
 /*! @brief Item kind under which quarantine records spread. */
 inline constexpr std::string_view quarantine_item_kind{"quarantine"};
@@ -72,6 +72,6 @@
     policy::crash_quarantine quarantine;
 };
 
-} // namespace lagoonsaddle::gateway
+} // namespace lagoonsaddle::cluster
 
 #endif
--- a/src/lagoonsaddle/gateway/caller_handler.hpp
+++ b/src/lagoonsaddle/gateway/caller_handler.hpp
@@ -14,13 +14,13 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <lagoonsaddle/cluster/quarantine_service.hpp>
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/gateway/answer_writer.hpp>
 #include <lagoonsaddle/gateway/caller_request.hpp>
 #include <lagoonsaddle/gateway/catalogue.hpp>
 #include <lagoonsaddle/gateway/owner_registry.hpp>
 #include <lagoonsaddle/gateway/ownership_service.hpp>
-#include <lagoonsaddle/gateway/quarantine_service.hpp>
 #include <lagoonsaddle/gateway/request_record.hpp>
 #include <lagoonsaddle/gateway/routing_table.hpp>
 #include <lagoonsaddle/gateway/rule_service.hpp>
@@ -49,10 +49,10 @@
     routing_table& routes;
     rule_service& rules;
     catalogue& adapters;
-    quarantine_service& quarantine;
+    cluster::quarantine_service& quarantine;
     /*! @brief Null when no object API is configured; marked requests are refused then. */
     journal::claim_journal* journal;
-    const membership_service& membership;
+    const cluster::membership_service& membership;
     request_observer& observer;
 };
 
--- a/src/lagoonsaddle/gateway/config_service.cpp
+++ b/src/lagoonsaddle/gateway/config_service.cpp
@@ -41,7 +41,7 @@
 } // namespace
 
 config_service::config_service(asio::io_context& io, const core::clock& clock, platform::object_store& store,
-    membership_service& members, peer_directory& connections, std::string availability_zone)
+    cluster::membership_service& members, cluster::peer_directory& connections, std::string availability_zone)
     : context{io},
       time{clock},
       objects{store},
--- a/src/lagoonsaddle/gateway/config_service.hpp
+++ b/src/lagoonsaddle/gateway/config_service.hpp
@@ -16,10 +16,10 @@
 #include <boost/asio/io_context.hpp>
 #include <tl/expected.hpp>
 
+#include <lagoonsaddle/cluster/membership_service.hpp>
+#include <lagoonsaddle/cluster/peer_directory.hpp>
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/fleet/config_register.hpp>
-#include <lagoonsaddle/gateway/membership_service.hpp>
-#include <lagoonsaddle/gateway/peer_directory.hpp>
 #include <lagoonsaddle/platform/config_store.hpp>
 #include <lagoonsaddle/platform/object_store.hpp>
 
@@ -36,7 +36,7 @@
     using applied_callback = std::function<void(const platform::config_document&)>;
 
     config_service(boost::asio::io_context& context, const core::clock& clock, platform::object_store& objects,
-        membership_service& membership, peer_directory& peers, std::string zone);
+        cluster::membership_service& membership, cluster::peer_directory& peers, std::string zone);
 
     /*! @brief Starts to follow the configuration. */
     void start();
@@ -115,8 +115,8 @@
     const core::clock& time;
     platform::object_store& objects;
     platform::config_store store;
-    membership_service& membership;
-    peer_directory& peers;
+    cluster::membership_service& membership;
+    cluster::peer_directory& peers;
     std::string zone;
     std::atomic<bool> stopping{false};
 
--- a/src/lagoonsaddle/gateway/fwd.hpp
+++ b/src/lagoonsaddle/gateway/fwd.hpp
@@ -6,12 +6,9 @@
 class caller_handler;
 class config_service;
 class load_service;
-class membership_service;
 class node;
 class order_authority;
 class ownership_service;
-class peer_directory;
-class quarantine_service;
 class request_observer;
 class routing_table;
 class upstream_directory;
--- a/src/lagoonsaddle/gateway/load_service.cpp
+++ b/src/lagoonsaddle/gateway/load_service.cpp
@@ -36,7 +36,8 @@
 };
 
 load_service::load_service(asio::io_context& io, const core::clock& clock, policy::load_scheduler_options options,
-    std::string store, membership_service& members, ownership_service& owners, peer_directory& connections)
+    std::string store, cluster::membership_service& members, ownership_service& owners,
+    cluster::peer_directory& connections)
     : context{io},
       time{clock},
       settings{options},
--- a/src/lagoonsaddle/gateway/load_service.hpp
+++ b/src/lagoonsaddle/gateway/load_service.hpp
@@ -13,12 +13,12 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <lagoonsaddle/cluster/membership_service.hpp>
+#include <lagoonsaddle/cluster/peer_directory.hpp>
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/core/error.hpp>
 #include <lagoonsaddle/core/model_name.hpp>
-#include <lagoonsaddle/gateway/membership_service.hpp>
 #include <lagoonsaddle/gateway/ownership_service.hpp>
-#include <lagoonsaddle/gateway/peer_directory.hpp>
 #include <lagoonsaddle/policy/load_scheduler.hpp>
 #include <lagoonsaddle/wire/peer_server.hpp>
 
@@ -73,7 +73,8 @@
 class load_service final : public load_permits, public std::enable_shared_from_this<load_service> {
 public:
     load_service(boost::asio::io_context& context, const core::clock& clock, policy::load_scheduler_options options,
-        std::string weight_store, membership_service& membership, ownership_service& ownership, peer_directory& peers);
+        std::string weight_store, cluster::membership_service& membership, ownership_service& ownership,
+        cluster::peer_directory& peers);
 
     /*! @brief Starts to grant permits when this node is the granter. */
     void start();
@@ -122,9 +123,9 @@
     const core::clock& time;
     policy::load_scheduler_options settings;
     std::string weight_store;
-    membership_service& membership;
+    cluster::membership_service& membership;
     ownership_service& ownership;
-    peer_directory& peers;
+    cluster::peer_directory& peers;
 
     mutable std::mutex mutex{};
     policy::load_scheduler scheduler;
--- a/src/lagoonsaddle/gateway/node.hpp
+++ b/src/lagoonsaddle/gateway/node.hpp
@@ -14,17 +14,17 @@
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include <lagoonsaddle/cluster/membership_service.hpp>
+#include <lagoonsaddle/cluster/peer_directory.hpp>
+#include <lagoonsaddle/cluster/quarantine_service.hpp>
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/core/error.hpp>
 #include <lagoonsaddle/gateway/caller_handler.hpp>
 #include <lagoonsaddle/gateway/catalogue.hpp>
 #include <lagoonsaddle/gateway/config_service.hpp>
 #include <lagoonsaddle/gateway/load_service.hpp>
-#include <lagoonsaddle/gateway/membership_service.hpp>
 #include <lagoonsaddle/gateway/owner_registry.hpp>
 #include <lagoonsaddle/gateway/ownership_service.hpp>
-#include <lagoonsaddle/gateway/peer_directory.hpp>
-#include <lagoonsaddle/gateway/quarantine_service.hpp>
 #include <lagoonsaddle/gateway/request_record.hpp>
 #include <lagoonsaddle/gateway/routing_table.hpp>
 #include <lagoonsaddle/gateway/rule_service.hpp>
@@ -99,11 +99,11 @@
         return this->values;
     }
 
-    [[nodiscard]] membership_service& membership() noexcept {
+    [[nodiscard]] cluster::membership_service& membership() noexcept {
         return *this->members;
     }
 
-    [[nodiscard]] peer_directory& peers() noexcept {
+    [[nodiscard]] cluster::peer_directory& peers() noexcept {
         return this->connections;
     }
 
@@ -161,13 +161,13 @@
     http::client requester;
     platform::http_object_store objects;
     std::unique_ptr<platform::vm_list> vms;
-    std::shared_ptr<membership_service> members;
-    peer_directory connections;
+    std::shared_ptr<cluster::membership_service> members;
+    cluster::peer_directory connections;
     upstream_directory directory;
     std::shared_ptr<ownership_service> owners;
     std::shared_ptr<config_service> configurations;
     std::shared_ptr<load_service> loads;
-    quarantine_service quarantine;
+    cluster::quarantine_service quarantine;
     rule_service rule_sets;
     catalogue adapter_catalogue{};
     routing_table routing;
--- a/src/lagoonsaddle/gateway/owner_registry.cpp
+++ b/src/lagoonsaddle/gateway/owner_registry.cpp
@@ -79,7 +79,8 @@
 
 } // namespace
 
-owner_registry::owner_registry(asio::io_context& io, peer_directory& connections) : context{io}, peers{connections} {}
+owner_registry::owner_registry(asio::io_context& io, cluster::peer_directory& connections)
+    : context{io}, peers{connections} {}
 
 void owner_registry::add(const std::string& upstream, std::shared_ptr<upstream_owner> owner) {
     const std::lock_guard lock{this->mutex};
--- a/src/lagoonsaddle/gateway/owner_registry.hpp
+++ b/src/lagoonsaddle/gateway/owner_registry.hpp
@@ -10,8 +10,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <lagoonsaddle/cluster/peer_directory.hpp>
 #include <lagoonsaddle/core/error.hpp>
-#include <lagoonsaddle/gateway/peer_directory.hpp>
 #include <lagoonsaddle/gateway/upstream_owner.hpp>
 #include <lagoonsaddle/wire/peer_client.hpp>
 
@@ -20,7 +20,7 @@
 /*! @brief Owners of the upstreams of this node, and the way to the owners on other nodes. Thread-safe. */
 class owner_registry {
 public:
-    owner_registry(boost::asio::io_context& context, peer_directory& peers);
+    owner_registry(boost::asio::io_context& context, cluster::peer_directory& peers);
 
     /**
      * @brief Adds an owner.
@@ -50,7 +50,7 @@
 
 private:
     boost::asio::io_context& context;
-    peer_directory& peers;
+    cluster::peer_directory& peers;
     mutable std::mutex mutex{};
     std::map<std::string, std::shared_ptr<upstream_owner>, std::less<>> owners{};
 };
--- a/src/lagoonsaddle/gateway/ownership_service.cpp
+++ b/src/lagoonsaddle/gateway/ownership_service.cpp
@@ -40,8 +40,8 @@
 }
 
 ownership_service::ownership_service(asio::io_context& io, const core::clock& clock,
-    fleet::ownership_settings protocol_settings, platform::object_store& store, membership_service& members,
-    upstream_directory& directory, peer_directory& connections)
+    fleet::ownership_settings protocol_settings, platform::object_store& store, cluster::membership_service& members,
+    upstream_directory& directory, cluster::peer_directory& connections)
     : context{io},
       time{clock},
       settings{protocol_settings},
--- a/src/lagoonsaddle/gateway/ownership_service.hpp
+++ b/src/lagoonsaddle/gateway/ownership_service.hpp
@@ -16,11 +16,11 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <lagoonsaddle/cluster/membership_service.hpp>
+#include <lagoonsaddle/cluster/peer_directory.hpp>
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/fleet/ownership.hpp>
-#include <lagoonsaddle/gateway/membership_service.hpp>
 #include <lagoonsaddle/gateway/order_authority.hpp>
-#include <lagoonsaddle/gateway/peer_directory.hpp>
 #include <lagoonsaddle/gateway/upstream_directory.hpp>
 #include <lagoonsaddle/platform/object_store.hpp>
 
@@ -32,8 +32,8 @@
     using owned_callback = std::function<void()>;
 
     ownership_service(boost::asio::io_context& context, const core::clock& clock, fleet::ownership_settings settings,
-        platform::object_store& objects, membership_service& membership, upstream_directory& upstreams,
-        peer_directory& peers);
+        platform::object_store& objects, cluster::membership_service& membership, upstream_directory& upstreams,
+        cluster::peer_directory& peers);
 
     /*! @brief Starts the protocol. Membership must be running. */
     void start();
@@ -115,13 +115,13 @@
     const core::clock& time;
     fleet::ownership_settings settings;
     platform::object_store& objects;
-    membership_service& membership;
+    cluster::membership_service& membership;
     upstream_directory& upstreams;
-    peer_directory& peers;
+    cluster::peer_directory& peers;
     std::atomic<bool> stopping{false};
 
     /*! @brief Lists that the zones were last given; used by `run_timers` alone. */
-    membership_service::members_type seen_members{};
+    cluster::membership_service::members_type seen_members{};
     std::shared_ptr<const upstream_directory::descriptions_type> seen_upstreams{};
 
     mutable std::mutex mutex{};
--- a/src/lagoonsaddle/gateway/upstream_owner.hpp
+++ b/src/lagoonsaddle/gateway/upstream_owner.hpp
@@ -18,11 +18,11 @@
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include <lagoonsaddle/cluster/quarantine_service.hpp>
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/core/error.hpp>
 #include <lagoonsaddle/gateway/load_service.hpp>
 #include <lagoonsaddle/gateway/order_authority.hpp>
-#include <lagoonsaddle/gateway/quarantine_service.hpp>
 #include <lagoonsaddle/gateway/request_record.hpp>
 #include <lagoonsaddle/http/client.hpp>
 #include <lagoonsaddle/policy/adapter_slots.hpp>
@@ -83,7 +83,7 @@
     http::client& requester;
     const order_authority& authority;
     load_permits& permits;
-    quarantine_service& quarantine;
+    cluster::quarantine_service& quarantine;
     request_observer& observer;
 };
 
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -297,10 +297,10 @@
     upstream_selector selector{{.availability_zone = "z"}};
     retry_budget budget{{.slack = 100.0}};
     operate::metrics_registry metrics{clock};
-    std::shared_ptr<gateway::membership_service> membership{
-        std::make_shared<gateway::membership_service>(context, clock, fleet::membership_settings{})};
-    gateway::peer_directory peers{context, *membership, wire::hello{.node = "n"}};
-    gateway::quarantine_service quarantine{{.crashes_until_quarantine = 3u}, *membership, peers};
+    std::shared_ptr<cluster::membership_service> membership{
+        std::make_shared<cluster::membership_service>(context, clock, fleet::membership_settings{})};
+    cluster::peer_directory peers{context, *membership, wire::hello{.node = "n"}};
+    cluster::quarantine_service quarantine{{.crashes_until_quarantine = 3u}, *membership, peers};
     std::shared_ptr<placement_service> placement{std::make_shared<placement_service>(placement_context{.io = context,
                                                                                          .time = clock,
                                                                                          .log = log,
