edge: requests that share a prompt prefix meet on one upstream; one watcher asks in an outage

- Requests with the same leading prompt parts go to the same of the adapter's homes, unless it is so busy that reading the parts elsewhere is sooner.
The number of homes is a power of two, as each node estimates rates from its own requests.
- While the store does not answer, one watcher of a node repeats its call; the others wait for its answer, or 1.5 s.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -125,9 +125,9 @@
     upstream_table upstreams{};
     upstream_selector selector;
     retry_budget budget;
-    std::shared_ptr<gateway::membership_service> membership;
-    gateway::peer_directory peers;
-    gateway::quarantine_service quarantine;
+    std::shared_ptr<cluster::membership_service> membership;
+    cluster::peer_directory peers;
+    cluster::quarantine_service quarantine;
     std::shared_ptr<placement_service> placement;
     forwarder requests;
     readiness_handler readiness;
@@ -136,6 +136,7 @@
     http::server readiness_server;
     http::server metrics_server;
     wire::peer_server peer_server;
+    outage_gate outage;
     std::vector<std::unique_ptr<record_watcher>> watchers{};
     /*! @brief What was read since the last message to the peers. */
     wire::store_news news{};
@@ -153,7 +154,7 @@
       budget{retry_budget_options{.ratio = this->settings.retry_ratio,
           .slack = this->settings.retry_slack,
           .window = this->settings.retry_window}},
-      membership{std::make_shared<gateway::membership_service>(
+      membership{std::make_shared<cluster::membership_service>(
           this->context.io, this->context.time, fleet::membership_settings{})},
       peers{this->context.io, *this->membership,
           wire::hello{.node = this->settings.name, .availability_zone = this->settings.availability_zone}},
@@ -195,7 +196,8 @@
               .listen = {.address = this->settings.callers.address, .port = this->settings.metrics_port}}},
       peer_server{this->context.io, *this,
           {.address = this->settings.callers.address, .port = this->settings.peer_port},
-          wire::hello{.node = this->settings.name, .availability_zone = this->settings.availability_zone}} {}
+          wire::hello{.node = this->settings.name, .availability_zone = this->settings.availability_zone}},
+      outage{this->context.io} {}
 
 core::result<void> entry_node::parts::start() {
     const core::endpoint peer_address{.address = this->settings.callers.address, .port = this->settings.peer_port};
@@ -250,8 +252,8 @@
 }
 
 void entry_node::parts::spawn_watcher(record_kind kind, milliseconds wait, milliseconds spacing) {
-    auto& watcher =
-        *this->watchers.emplace_back(std::make_unique<record_watcher>(this->context.store, *this, this->context.time,
+    auto& watcher = *this->watchers.emplace_back(
+        std::make_unique<record_watcher>(this->context.store, *this, this->outage, this->context.time,
             this->context.log, record_watcher_options{.kind = kind, .wait = wait, .spacing = spacing, .age = [this] {
                                                           return this->watch_age();
                                                       }}));
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -186,8 +186,9 @@
         co_return;
     }
     this->context.budget.record_request(state.service, state.begin);
-    if(!state.terms.adapter.empty()) {
-        this->context.selector.record_request(state.terms.model, state.terms.adapter, state.begin);
+    if(!state.terms.model.empty()) {
+        this->context.selector.record_request(
+            state.terms.model, state.terms.adapter, state.terms.shared_prefix, state.begin);
     }
     auto next = step::again;
     while(next == step::again) {
@@ -216,6 +217,8 @@
         .model = state.terms.model,
         .adapter = state.terms.adapter,
         .prompt_tokens = state.terms.prompt_tokens,
+        .shared_prefix = state.terms.shared_prefix,
+        .shared_tokens = state.terms.shared_tokens,
         .version_min = this->oldest_version(state),
         .excluded = &state.excluded,
         .nodes = this->live_nodes()};
@@ -235,7 +238,7 @@
         state.path += ";no_budget";
         co_return step::stop;
     }
-    co_return co_await this->send(state, choice->upstream);
+    co_return co_await this->send(state, *choice);
 }
 
 asio::awaitable<bool> forwarder::make_resident(exchange_state& state, const selection& choice) {
@@ -261,7 +264,8 @@
     co_return true;
 }
 
-asio::awaitable<forwarder::step> forwarder::send(exchange_state& state, const std::string& upstream) {
+asio::awaitable<forwarder::step> forwarder::send(exchange_state& state, const selection& choice) {
+    const auto& upstream = choice.upstream;
     auto* known = this->context.upstreams.find(upstream);
     if(state.caller_gone) {
         state.outcome = "caller_gone";
@@ -303,7 +307,7 @@
     }
 
     ++known->in_flight;
-    known->pending_tokens += state.terms.prompt_tokens;
+    known->pending_tokens += choice.cold_tokens;
     if(!state.terms.adapter.empty()) {
         this->context.placement.begin_use(upstream, state.terms.model, state.terms.adapter);
     }
@@ -311,7 +315,7 @@
     auto opened = co_await this->context.client.open(address, std::move(outgoing), std::move(options));
     patience.cancel();
     if(known = this->context.upstreams.find(upstream); known != nullptr) {
-        known->pending_tokens -= std::min(known->pending_tokens, state.terms.prompt_tokens);
+        known->pending_tokens -= std::min(known->pending_tokens, choice.cold_tokens);
     }
     auto next = step::stop;
     if(opened) {
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -10,6 +10,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <lagoonsaddle/cluster/membership_service.hpp>
+#include <lagoonsaddle/cluster/quarantine_service.hpp>
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/edge/decision_log.hpp>
 #include <lagoonsaddle/edge/placement_service.hpp>
@@ -18,8 +20,6 @@
 #include <lagoonsaddle/edge/route_table.hpp>
 #include <lagoonsaddle/edge/upstream_selector.hpp>
 #include <lagoonsaddle/edge/upstream_table.hpp>
-#include <lagoonsaddle/gateway/membership_service.hpp>
-#include <lagoonsaddle/gateway/quarantine_service.hpp>
 #include <lagoonsaddle/http/client.hpp>
 #include <lagoonsaddle/http/server.hpp>
 #include <lagoonsaddle/operate/metrics_registry.hpp>
@@ -37,8 +37,8 @@
     upstream_selector& selector;
     retry_budget& budget;
     placement_service& placement;
-    gateway::quarantine_service& quarantine;
-    gateway::membership_service& membership;
+    cluster::quarantine_service& quarantine;
+    cluster::membership_service& membership;
     operate::metrics_registry& metrics;
 };
 
@@ -71,7 +71,7 @@
     [[nodiscard]] boost::asio::awaitable<void> serve(exchange_state& state);
     [[nodiscard]] boost::asio::awaitable<step> attempt(exchange_state& state);
     [[nodiscard]] boost::asio::awaitable<bool> make_resident(exchange_state& state, const selection& choice);
-    [[nodiscard]] boost::asio::awaitable<step> send(exchange_state& state, const std::string& upstream);
+    [[nodiscard]] boost::asio::awaitable<step> send(exchange_state& state, const selection& choice);
     [[nodiscard]] boost::asio::awaitable<step> receive(
         exchange_state& state, const std::string& upstream, http::response_stream& answer);
     [[nodiscard]] boost::asio::awaitable<step> pass_stream(
--- a/src/lagoonsaddle/edge/model.hpp
+++ b/src/lagoonsaddle/edge/model.hpp
@@ -110,6 +110,10 @@
     std::string adapter{};
     std::uint64_t prompt_tokens{};
     std::uint64_t output_tokens{};
+    /*! @brief Hash of the leading parts of the prompt that other requests share; 0 when nothing is shared. */
+    std::uint64_t shared_prefix{};
+    /*! @brief Tokens of these parts. */
+    std::uint64_t shared_tokens{};
     std::optional<std::uint64_t> last_event{};
 };
 
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -16,6 +16,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <lagoonsaddle/cluster/membership_service.hpp>
+#include <lagoonsaddle/cluster/peer_directory.hpp>
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/edge/decision_log.hpp>
 #include <lagoonsaddle/edge/lease_tracker.hpp>
@@ -23,8 +25,6 @@
 #include <lagoonsaddle/edge/route_table.hpp>
 #include <lagoonsaddle/edge/slot_ledger.hpp>
 #include <lagoonsaddle/edge/upstream_table.hpp>
-#include <lagoonsaddle/gateway/membership_service.hpp>
-#include <lagoonsaddle/gateway/peer_directory.hpp>
 #include <lagoonsaddle/wire/messages.hpp>
 
 namespace lagoonsaddle::edge {
@@ -48,8 +48,8 @@
     upstream_control& control;
     route_table& routes;
     upstream_table& upstreams;
-    gateway::membership_service& membership;
-    gateway::peer_directory& peers;
+    cluster::membership_service& membership;
+    cluster::peer_directory& peers;
 };
 
 /**
--- a/src/lagoonsaddle/edge/record_watcher.cpp
+++ b/src/lagoonsaddle/edge/record_watcher.cpp
@@ -14,18 +14,15 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds retry_delay_min{60};
-constexpr std::chrono::milliseconds retry_delay_max{400};
-
 [[nodiscard]] std::int64_t milliseconds(core::duration value) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
 } // namespace
 
-record_watcher::record_watcher(record_store& records, record_observer& receiver, const core::clock& clock,
-    log_sink& sink, record_watcher_options options)
-    : store{records}, observer{receiver}, time{clock}, log{sink}, settings{std::move(options)} {}
+record_watcher::record_watcher(record_store& records, record_observer& receiver, outage_gate& gate,
+    const core::clock& clock, log_sink& sink, record_watcher_options options)
+    : store{records}, observer{receiver}, outage{gate}, time{clock}, log{sink}, settings{std::move(options)} {}
 
 asio::awaitable<core::result<record_page>> record_watcher::fetch(bool& complete) {
     complete = !this->revision.has_value();
@@ -37,7 +34,6 @@
 }
 
 void record_watcher::note_failure(const core::error& failure) {
-    ++this->failures;
     if(!this->failing_since) {
         this->failing_since = this->time.now();
         this->log.write(log_line{"store_lost"}
@@ -48,7 +44,7 @@
 }
 
 void record_watcher::note_success() {
-    this->failures = 0u;
+    this->outage.answered();
     const auto now = this->time.now();
     this->answered = now;
     if(this->failing_since) {
@@ -81,7 +77,7 @@
             this->revision.reset();
         } else {
             this->note_failure(page.error());
-            pause = std::min(retry_delay_max, retry_delay_min * static_cast<int>(std::min(this->failures, 16u)));
+            co_await this->outage.wait_after_failure(this->settings.kind);
         }
         if(pause.count() > 0) {
             timer.expires_after(pause);
--- a/src/lagoonsaddle/edge/record_watcher.hpp
+++ b/src/lagoonsaddle/edge/record_watcher.hpp
@@ -10,6 +10,7 @@
 
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/edge/decision_log.hpp>
+#include <lagoonsaddle/edge/outage_gate.hpp>
 #include <lagoonsaddle/edge/protocol.hpp>
 
 namespace lagoonsaddle::edge {
@@ -56,8 +57,8 @@
      * @param log Receives losses and returns of the store.
      * @param options Options.
      */
-    record_watcher(record_store& store, record_observer& observer, const core::clock& clock, log_sink& log,
-        record_watcher_options options);
+    record_watcher(record_store& store, record_observer& observer, outage_gate& gate, const core::clock& clock,
+        log_sink& log, record_watcher_options options);
 
     /*! @brief Runs until the process ends. */
     [[nodiscard]] boost::asio::awaitable<void> run();
@@ -74,13 +75,13 @@
 
     record_store& store;
     record_observer& observer;
+    outage_gate& outage;
     const core::clock& time;
     log_sink& log;
     record_watcher_options settings;
     std::optional<std::uint64_t> revision{};
     std::optional<core::time_point> answered{};
     std::optional<core::time_point> failing_since{};
-    unsigned failures{};
 };
 
 } // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/upstream_selector.cpp
+++ b/src/lagoonsaddle/edge/upstream_selector.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <bit>
 #include <cmath>
 #include <functional>
 #include <utility>
@@ -47,6 +48,11 @@
  */
 constexpr double peer_load_share{0.5};
 
+/*! @brief Returns the key of a shared prefix of prompts; cached parts belong to one adapter. */
+[[nodiscard]] std::string prefix_key(const std::string& adapter, std::uint64_t shared_prefix) {
+    return adapter + '#' + std::to_string(shared_prefix);
+}
+
 [[nodiscard]] bool fresh(const known_upstream& upstream, core::time_point now) {
     return upstream.peers && now - upstream.peers->at < peer_load_lifetime;
 }
@@ -84,8 +90,7 @@
 
 } // namespace
 
-void upstream_selector::record_request(std::string_view model, std::string_view adapter, core::time_point now) {
-    const auto key = adapter_key(model, adapter);
+void upstream_selector::count(const std::string& key, core::time_point now) {
     if(this->rates.size() >= rates_max && !this->rates.contains(key)) {
         std::erase_if(this->rates, [now](const auto& entry) { return now - entry.second.updated > rate_memory; });
     }
@@ -95,48 +100,86 @@
     entry.updated = now;
 }
 
-std::size_t upstream_selector::homes(const selection_request& wanted, core::time_point now) const {
-    const auto found = this->rates.find(adapter_key(wanted.model, wanted.adapter));
+void upstream_selector::record_request(
+    std::string_view model, std::string_view adapter, std::uint64_t shared_prefix, core::time_point now) {
+    const auto key = adapter_key(model, adapter);
+    if(!adapter.empty()) {
+        this->count(key, now);
+    }
+    if(shared_prefix != 0u) {
+        this->count(prefix_key(key, shared_prefix), now);
+    }
+}
+
+std::size_t upstream_selector::homes(std::string_view key, std::size_t nodes, core::time_point now) const {
+    const auto found = this->rates.find(key);
     if(found == this->rates.end()) {
         return 1u;
     }
     const std::chrono::duration<double> age{now - found->second.updated};
     const auto own = found->second.per_second * std::exp(-(age / rate_memory));
-    const auto fleet = own * static_cast<double>(std::max<std::size_t>(wanted.nodes, 1u));
-    return 1u + static_cast<std::size_t>(fleet / this->settings.requests_per_home);
+    const auto fleet = own * static_cast<double>(std::max<std::size_t>(nodes, 1u));
+    const auto needed = 1u + static_cast<std::size_t>(fleet / this->settings.requests_per_home);
+    // Each node estimates the rate from its own requests; with powers of two, estimates that differ agree mostly.
+    return std::bit_ceil(needed);
 }
 
-std::optional<selection> upstream_selector::choose(
-    upstream_table& table, const selection_request& wanted, core::time_point now) const {
-    auto candidates = table.usable(wanted.service);
-    const bool serves_models = !wanted.model.empty();
-    std::erase_if(candidates, [&](const known_upstream* upstream) {
-        return (wanted.excluded != nullptr && wanted.excluded->contains(upstream->entry.id)) ||
-               (serves_models && !upstream->holds_model(wanted.model));
-    });
-
+upstream_selector::ranked_upstreams upstream_selector::rank(
+    const upstream_table& table, const selection_request& wanted) const {
     // All availability zones rank the upstreams alike: an adapter resident once serves them all, and a load from the
     // weight store costs more than the transfer between availability zones.
     const std::string key = adapter_key(wanted.model, wanted.adapter);
-    const bool placed = !wanted.adapter.empty();
-    std::vector<std::pair<std::uint64_t, const known_upstream*>> ranking{};
-    ranking.reserve(candidates.size());
-    for(const auto* upstream : candidates) {
+    ranked_upstreams ranking{};
+    for(const auto* upstream : table.usable(wanted.service)) {
+        const bool excluded = wanted.excluded != nullptr && wanted.excluded->contains(upstream->entry.id);
+        if(!excluded && (wanted.model.empty() || upstream->holds_model(wanted.model))) {
+            ranking.emplace_back(core::hash(key + upstream->entry.id), upstream);
+        }
+    }
+    std::ranges::sort(ranking, std::greater{}, &ranked_upstreams::value_type::first);
+    return ranking;
+}
+
+std::set<std::string_view> upstream_selector::prefix_homes(std::span<const ranked_upstreams::value_type> adapter_homes,
+    const selection_request& wanted, core::time_point now) const {
+    const auto key = prefix_key(adapter_key(wanted.model, wanted.adapter), wanted.shared_prefix);
+    ranked_upstreams ranking{};
+    ranking.reserve(adapter_homes.size());
+    for(const auto& [hash, upstream] : adapter_homes) {
         ranking.emplace_back(core::hash(key + upstream->entry.id), upstream);
     }
-    const auto local = [this](const known_upstream& upstream) {
-        return upstream.entry.availability_zone == this->settings.availability_zone;
-    };
-    std::ranges::sort(ranking, std::greater{}, [](const auto& entry) { return entry.first; });
+    const auto count = std::min(this->homes(key, wanted.nodes, now), ranking.size());
+    const auto middle = ranking.begin() + static_cast<std::ptrdiff_t>(count);
+    std::ranges::partial_sort(ranking, middle, std::greater{}, &ranked_upstreams::value_type::first);
+    std::set<std::string_view> chosen{};
+    for(auto entry = ranking.begin(); entry != middle; ++entry) {
+        chosen.insert(entry->second->entry.id);
+    }
+    return chosen;
+}
 
-    const auto home_count = placed ? this->homes(wanted, now) : candidates.size();
+std::optional<selection> upstream_selector::choose(
+    const upstream_table& table, const selection_request& wanted, core::time_point now) const {
+    const bool serves_models = !wanted.model.empty();
+    const bool placed = !wanted.adapter.empty();
+    const auto ranking = this->rank(table, wanted);
+    const auto home_count =
+        placed ? std::min(ranking.size(), this->homes(adapter_key(wanted.model, wanted.adapter), wanted.nodes, now))
+               : ranking.size();
+    const bool shares = serves_models && wanted.shared_prefix != 0u;
+    const auto kept_on =
+        shares ? this->prefix_homes(std::span{ranking}.first(home_count), wanted, now) : std::set<std::string_view>{};
     std::optional<selection> best{};
     for(std::size_t index{}; index < ranking.size(); ++index) {
         const auto& upstream = *ranking[index].second;
         const auto version = upstream.adapter_version(wanted.model, wanted.adapter, now);
         const bool resident = !placed || (version && *version >= wanted.version_min);
+        const bool kept = kept_on.contains(upstream.entry.id);
         double cost = waiting_cost(upstream, serves_models, wanted.nodes, now) + trouble_cost(upstream, now);
-        cost += local(upstream) ? 0.0 : zone_cost_ms;
+        cost += upstream.entry.availability_zone == this->settings.availability_zone ? 0.0 : zone_cost_ms;
+        if(shares && !kept) {
+            cost += static_cast<double>(wanted.shared_tokens) / prompt_tokens_per_ms;
+        }
         if(index >= home_count) {
             cost += resident ? away_cost_ms : away_load_cost_ms;
         }
@@ -147,7 +190,11 @@
             cost += fresh(upstream, now) && upstream.peers->free_places == 0u ? no_place_cost_ms : 0.0;
         }
         if(!best || cost < best->cost_ms) {
-            best = selection{.upstream = upstream.entry.id, .resident = resident, .cost_ms = cost};
+            const auto cached = kept ? std::min(wanted.shared_tokens, wanted.prompt_tokens) : 0u;
+            best = selection{.upstream = upstream.entry.id,
+                .resident = resident,
+                .cost_ms = cost,
+                .cold_tokens = wanted.prompt_tokens - cached};
         }
     }
     return best;
--- a/src/lagoonsaddle/edge/upstream_selector.hpp
+++ b/src/lagoonsaddle/edge/upstream_selector.hpp
@@ -7,8 +7,11 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/edge/upstream_table.hpp>
@@ -21,6 +24,10 @@
     std::string_view model{};
     std::string_view adapter{};
     std::uint64_t prompt_tokens{};
+    /*! @brief Hash of the leading parts of the prompt that other requests share; 0 when nothing is shared. */
+    std::uint64_t shared_prefix{};
+    /*! @brief Tokens of these parts. */
+    std::uint64_t shared_tokens{};
     /*! @brief Oldest version of the adapter that may serve. */
     std::uint64_t version_min{};
     /*! @brief Upstreams that have failed this request. */
@@ -38,6 +45,8 @@
     bool resident{true};
     /*! @brief Estimated time until the upstream can begin, in milliseconds. */
     double cost_ms{};
+    /*! @brief Prompt tokens that the upstream probably has to read, as it does not keep them. */
+    std::uint64_t cold_tokens{};
 };
 
 /*! @brief Options of `upstream_selector`. */
@@ -50,16 +59,18 @@
 /**
  * @brief Chooses the upstream of a request by the least estimated delay, in milliseconds.
  *
- * Requests for an adapter meet on few upstreams, by rendezvous hashing, so that adapters and
- * shared prompt parts stay resident; the number of these upstreams grows with the rate of the adapter. Answers skewed
- * load (a few adapters receive most requests) and upstreams that fail or fall behind. Not thread-safe.
+ * Requests for an adapter meet on few upstreams, its homes, by rendezvous hashing, so that adapters stay resident; the
+ * number of homes grows with the rate of the adapter. Among the homes, requests that share the leading parts of their
+ * prompts meet again on few, so that these parts are read once. Answers skewed load (a few adapters receive most
+ * requests), long shared prompts, and upstreams that fail or fall behind. Not thread-safe.
  */
 class upstream_selector {
 public:
     explicit upstream_selector(upstream_selector_options options) : settings{std::move(options)} {}
 
-    /*! @brief Counts a request for an adapter. */
-    void record_request(std::string_view model, std::string_view adapter, core::time_point now);
+    /*! @brief Counts a request for an adapter, and for the shared prefix of its prompt unless that is 0. */
+    void record_request(
+        std::string_view model, std::string_view adapter, std::uint64_t shared_prefix, core::time_point now);
 
     /**
      * @brief Chooses an upstream.
@@ -69,7 +80,7 @@
      * @return The choice, or nothing when no upstream may serve the request.
      */
     [[nodiscard]] std::optional<selection> choose(
-        upstream_table& table, const selection_request& wanted, core::time_point now) const;
+        const upstream_table& table, const selection_request& wanted, core::time_point now) const;
 
 private:
     struct rate {
@@ -77,7 +88,13 @@
         core::time_point updated{};
     };
 
-    [[nodiscard]] std::size_t homes(const selection_request& wanted, core::time_point now) const;
+    using ranked_upstreams = std::vector<std::pair<std::uint64_t, const known_upstream*>>;
+
+    void count(const std::string& key, core::time_point now);
+    [[nodiscard]] std::size_t homes(std::string_view key, std::size_t nodes, core::time_point now) const;
+    [[nodiscard]] ranked_upstreams rank(const upstream_table& table, const selection_request& wanted) const;
+    [[nodiscard]] std::set<std::string_view> prefix_homes(std::span<const ranked_upstreams::value_type> adapter_homes,
+        const selection_request& wanted, core::time_point now) const;
 
     upstream_selector_options settings;
     std::map<std::string, rate, std::less<>> rates{};
--- a/src/lagoonsaddle/edge/upstream_table.cpp
+++ b/src/lagoonsaddle/edge/upstream_table.cpp
@@ -128,9 +128,9 @@
     return found == this->upstreams.end() ? nullptr : &found->second;
 }
 
-std::vector<known_upstream*> upstream_table::usable(std::string_view service) {
-    std::vector<known_upstream*> found{};
-    for(auto& [id, known] : this->upstreams) {
+std::vector<const known_upstream*> upstream_table::usable(std::string_view service) const {
+    std::vector<const known_upstream*> found{};
+    for(const auto& [id, known] : this->upstreams) {
         if(known.entry.service == service && !known.entry.leaving) {
             found.push_back(&known);
         }
--- a/src/lagoonsaddle/edge/upstream_table.hpp
+++ b/src/lagoonsaddle/edge/upstream_table.hpp
@@ -106,7 +106,7 @@
     }
 
     /*! @brief Returns the upstreams of a service that take new requests. */
-    [[nodiscard]] std::vector<known_upstream*> usable(std::string_view service);
+    [[nodiscard]] std::vector<const known_upstream*> usable(std::string_view service) const;
 
     /*! @brief Records what a request or an order showed about an adapter. */
     void observe_adapter(std::string_view id, std::string_view model, std::string_view adapter, bool resident,
--- a/test/edge/record_watcher_test.cpp
+++ b/test/edge/record_watcher_test.cpp
@@ -80,10 +80,10 @@
 
 struct record_watcher_fixture {
     void run() {
-        record_watcher watcher{
-            this->store, this->observer, this->clock, this->log, {.kind = record_kind::upstreams, .age = [this] {
-                                                                      return this->age;
-                                                                  }}};
+        record_watcher watcher{this->store, this->observer, this->gate, this->clock, this->log,
+            {.kind = record_kind::upstreams, .age = [this] {
+                 return this->age;
+             }}};
         asio::co_spawn(
             this->context, [&watcher] { return watcher.run(); }, asio::detached);
         this->context.run();
@@ -103,6 +103,7 @@
     core::manual_clock clock{};
     scripted_store store{this->context};
     recording_observer observer{};
+    outage_gate gate{this->context};
     silent_log log{};
     freshness age{freshness::exact};
 };
--- a/test/edge/upstream_selector_test.cpp
+++ b/test/edge/upstream_selector_test.cpp
@@ -1,3 +1,5 @@
+#include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -49,6 +51,73 @@
     CHECK_FALSE(this->selector.choose(this->table, this->wanted, this->now)->resident);
 }
 
+// Guards against shared parts of prompts that each upstream reads again, and against one upstream that reads them all.
+TEST_CASE_FIXTURE(upstream_selector_fixture, "choose_shared_prefix_meets_on_one_of_the_adapters_homes") {
+    for(const auto& [id, known] : this->table.all()) {
+        this->table.observe_adapter(id, "m", "a", true, 1u, this->now);
+    }
+    for(int index{}; index < 500; ++index) {
+        this->selector.record_request("m", "a", 0u, this->now);
+    }
+    this->wanted.prompt_tokens = 9'000u;
+    this->wanted.shared_tokens = 6'000u;
+    std::set<std::string> used{};
+    for(std::uint64_t prefix{1u}; prefix <= 40u; ++prefix) {
+        this->wanted.shared_prefix = prefix;
+        const auto first = this->selector.choose(this->table, this->wanted, this->now);
+        CHECK(first->cold_tokens == 3'000u);
+        CHECK(this->choose(this->wanted) == first->upstream);
+        used.insert(first->upstream);
+    }
+    // Three upstreams are in the node's own availability zone; each is the home of some prefix.
+    CHECK(used.size() >= 3u);
+}
+
+// Guards against a prefix whose home is so busy that reading it elsewhere is sooner.
+TEST_CASE_FIXTURE(upstream_selector_fixture, "choose_shared_prefix_with_busy_home_is_read_elsewhere") {
+    this->wanted.adapter = "";
+    this->wanted.prompt_tokens = 9'000u;
+    this->wanted.shared_prefix = 7u;
+    this->wanted.shared_tokens = 6'000u;
+    const auto home = this->choose(this->wanted);
+    this->table.find(home)->peers = known_upstream::peer_load{.pending_tokens = 3'000u, .at = this->now};
+    CHECK(this->choose(this->wanted) == home);
+    this->table.find(home)->peers = known_upstream::peer_load{.pending_tokens = 40'000u, .at = this->now};
+    const auto other = this->selector.choose(this->table, this->wanted, this->now);
+    CHECK(other->upstream != home);
+    CHECK(other->cold_tokens == 9'000u);
+}
+
+// Plays a steady load of one hot adapter whose requests share 30 prefixes, sent by two nodes that know only their own
+// requests. Guards against nodes that disagree on the homes: a shared part may be read on two upstreams at most.
+TEST_CASE_FIXTURE(
+    upstream_selector_fixture, "choose_two_nodes_steady_load_reads_each_prefix_on_two_upstreams_at_most") {
+    upstream_selector other{{.availability_zone = "z2"}};
+    for(const auto& [id, known] : this->table.all()) {
+        this->table.observe_adapter(id, "m", "a", true, 1u, this->now);
+    }
+    this->wanted.nodes = 2u;
+    this->wanted.prompt_tokens = 9'000u;
+    this->wanted.shared_tokens = 6'000u;
+    std::map<std::uint64_t, std::set<std::string>> read_on{};
+    for(std::uint64_t index{}; index < 1'200u; ++index) {
+        this->now += 30ms;
+        auto& node = index % 2u == 0u ? this->selector : other;
+        this->wanted.shared_prefix = 1u + index * 7u % 30u;
+        node.record_request("m", "a", this->wanted.shared_prefix, this->now);
+        const auto choice = node.choose(this->table, this->wanted, this->now);
+        // The first seconds only teach the rates.
+        if(index >= 600u) {
+            read_on[this->wanted.shared_prefix].insert(choice->upstream);
+        }
+    }
+    CHECK(read_on.size() == 30u);
+    for(const auto& [prefix, upstreams] : read_on) {
+        CAPTURE(prefix);
+        CHECK(upstreams.size() <= 2u);
+    }
+}
+
 // Guards against a load where the adapter is resident already.
 TEST_CASE_FIXTURE(upstream_selector_fixture, "choose_resident_adapter_returns_its_upstream") {
     const auto home = this->choose(this->wanted);
--- a/test/host_platform/request_format_test.cpp
+++ b/test/host_platform/request_format_test.cpp
@@ -37,6 +37,24 @@
     CHECK_FALSE(this->format.read_request(this->message).has_value());
 }
 
+// Guards against prompts that share parts but not a prefix, and against a list in another form that fails a request.
+TEST_CASE_FIXTURE(request_format_fixture, "read_request_prompt_parts_returns_shared_prefix") {
+    const auto read = [this](std::string_view list) {
+        this->message.headers.set("X-Prompt-Prefix", list);
+        return this->format.read_request(this->message).value();
+    };
+    const auto first = read("5c1e:800,91bd:410,e440:250");
+    CHECK(first.shared_tokens == 1'210u);
+    CHECK(first.shared_prefix != 0u);
+    CHECK(read("5c1e:800,91bd:410,ffff:9").shared_prefix == first.shared_prefix);
+    CHECK(read("5c1e:800,91be:410,e440:250").shared_prefix != first.shared_prefix);
+    for(const auto* list : {"e440:250", "", "5c1e,e440", "5c1e:x,e440:250", ",,"}) {
+        CAPTURE(list);
+        CHECK(read(list).shared_prefix == 0u);
+        CHECK(read(list).shared_tokens == 0u);
+    }
+}
+
 // Guards against fields that only the system may set, and against the removal of the request's own fields by a caller
 // that lists them as fields of the connection.
 TEST_CASE_FIXTURE(request_format_fixture, "make_upstream_request_hostile_fields_are_dropped") {
