--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <lagoonsaddle/edge/dispatch_service.hpp>
 #include <lagoonsaddle/edge/entry_node.hpp>
 #include <lagoonsaddle/edge/forwarder.hpp>
 #include <lagoonsaddle/edge/reader_roster.hpp>
@@ -129,6 +130,7 @@
     cluster::peer_directory peers;
     cluster::quarantine_service quarantine;
     std::shared_ptr<placement_service> placement;
+    std::shared_ptr<dispatch_service> dispatch;
     forwarder requests;
     readiness_handler readiness;
     metrics_handler metrics_pages;
@@ -168,13 +170,18 @@
                                                         .control = this->context.control,
                                                         .routes = this->routes,
                                                         .upstreams = this->upstreams,
-                                                        .membership = *this->membership,
-                                                        .peers = this->peers},
+                                                        .membership = *this->membership},
           placement_options{.self = this->settings.name,
               .availability_zone = this->settings.availability_zone,
               .boot_id = this->boot_id,
               .fenced = this->settings.upstreams_check_tokens,
               .lease_time = this->settings.lease_time})},
+      dispatch{std::make_shared<dispatch_service>(dispatch_context{.io = this->context.io,
+                                                      .time = this->context.time,
+                                                      .upstreams = this->upstreams,
+                                                      .placement = *this->placement,
+                                                      .peers = this->peers},
+          this->settings.name)},
       requests{forwarder_context{.time = this->context.time,
           .log = this->context.log,
           .format = this->context.format,
@@ -184,6 +191,7 @@
           .selector = this->selector,
           .budget = this->budget,
           .placement = *this->placement,
+          .dispatch = *this->dispatch,
           .quarantine = this->quarantine,
           .membership = *this->membership,
           .metrics = this->metrics}},
@@ -228,6 +236,7 @@
             log_line{"member"}.add("node", other.info.name).add("state", fleet::to_string(other.state)));
         if(!other.is_live() || change.restarted) {
             this->peers.drop(other.info.name);
+            this->dispatch->node_gone(other.info.name);
         }
     });
     std::vector<core::endpoint> seeds{};
@@ -246,6 +255,7 @@
     this->spawn_watcher(record_kind::versions, long_wait, milliseconds{100});
     this->spawn_watcher(record_kind::leases, long_wait, milliseconds{0});
     this->placement->start();
+    this->dispatch->start();
     asio::co_spawn(
         this->context.io, [this] { return this->keep_house(); }, asio::detached);
     return {};
@@ -438,23 +448,15 @@
         if(const auto value = wire::unpack<wire::store_news>(message.body)) {
             this->receive_news(*value);
         }
-    } else if(message.type == wire::message_type::adapter_usage) {
-        if(const auto usage = wire::unpack<wire::adapter_usage>(message.body)) {
-            answer->send(wire::message_type::fleet_load, wire::pack(this->placement->receive_usage(peer, *usage)));
+    } else if(message.type == wire::message_type::request_progress) {
+        if(const auto progress = wire::unpack<wire::request_progress>(message.body)) {
+            this->dispatch->receive_progress(peer, *progress);
         }
-    } else if(message.type == wire::message_type::adapter_wanted) {
-        auto wanted = wire::unpack<wire::adapter_wanted>(message.body);
-        if(!wanted) {
-            co_return;
+    } else if(message.type == wire::message_type::place_request) {
+        if(auto wanted = wire::unpack<wire::place_request>(message.body)) {
+            const auto reply = co_await this->dispatch->place_here(std::move(peer), std::move(*wanted));
+            answer->send(wire::message_type::placement, wire::pack(reply));
         }
-        const auto version = co_await this->placement->ensure_here(std::move(*wanted));
-        wire::adapter_ready reply{};
-        if(version) {
-            reply.version = *version;
-        } else {
-            reply.failure = wire::to_wire(version.error());
-        }
-        answer->send(wire::message_type::adapter_ready, wire::pack(reply));
     }
 }
 
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -50,6 +50,23 @@
 constexpr milliseconds retry_soon{200};
 constexpr milliseconds retry_overload{400};
 
+/*! @brief Ends the reservation of a request when its attempt is over. */
+class reservation_guard {
+public:
+    reservation_guard(dispatch_service& service, const dispatched& request) : dispatch{service}, placed{request} {}
+
+    reservation_guard(const reservation_guard&) = delete;
+    reservation_guard& operator=(const reservation_guard&) = delete;
+
+    ~reservation_guard() {
+        this->dispatch.ended(this->placed);
+    }
+
+private:
+    dispatch_service& dispatch;
+    const dispatched& placed;
+};
+
 [[nodiscard]] milliseconds to_ms(core::duration value) {
     return std::chrono::duration_cast<milliseconds>(value);
 }
@@ -225,47 +242,69 @@
     wanted.can_load = [this](std::string_view zone) {
         return this->context.placement.can_load(zone);
     };
+    wanted.zone_delay_ms = [this, now](std::string_view zone) {
+        return this->context.dispatch.zone_delay_ms(zone, now);
+    };
     const auto choice = this->context.selector.choose(this->context.upstreams, wanted, now);
     if(!choice) {
         co_return step::stop;
     }
-    if(!choice->resident && !co_await this->make_resident(state, *choice)) {
-        state.excluded.insert(choice->upstream);
+    const auto placed = co_await this->place(state, *choice);
+    if(!placed) {
         co_return step::again;
     }
+    const reservation_guard guard{this->context.dispatch, *placed};
     // The first send is free; later ones draw on the budget of the fleet.
     if(state.sends > 0u && !this->context.budget.take(state.service, this->live_nodes(), this->context.time.now())) {
         state.path += ";no_budget";
         co_return step::stop;
     }
-    co_return co_await this->send(state, *choice);
+    co_return co_await this->send(state, *placed);
 }
 
-asio::awaitable<bool> forwarder::make_resident(exchange_state& state, const selection& choice) {
+asio::awaitable<std::optional<dispatched>> forwarder::place(exchange_state& state, const selection& choice) {
+    if(state.terms.model.empty()) {
+        co_return dispatched{.upstream = choice.upstream};
+    }
     const auto left = to_ms(state.deadline - this->context.time.now());
     const auto wait = std::min(load_wait_max, left * 6 / 10);
     // A named value: g++ 12 destroys aggregate temporaries of a co_await expression twice.
-    wire::adapter_wanted wanted{.upstream = choice.upstream,
+    wire::place_request wanted{.service = state.service,
         .model = state.terms.model,
         .adapter = state.terms.adapter,
         .version_min = this->oldest_version(state),
+        .prompt_tokens = state.terms.prompt_tokens,
+        .shared_prefix = state.terms.shared_prefix,
+        .shared_tokens = state.terms.shared_tokens,
+        .excluded = {state.excluded.begin(), state.excluded.end()},
         .timeout_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(wait.count(), 1)),
+        .lifetime_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(left.count(), 1)),
         .may_wait = state.choices > choices_without_wait};
-    auto version = co_await this->context.placement.ensure(std::move(wanted));
-    state.path +=
-        ";load@" + choice.upstream + ':' + std::string{version ? "ready" : core::to_string(version.error().cause)};
-    if(!version) {
-        state.last = std::move(version.error());
+    const auto begin = this->context.time.now();
+    auto placed = co_await this->context.dispatch.place(std::move(wanted), choice);
+    const auto took = to_ms(this->context.time.now() - begin).count();
+    log_line line{"placed"};
+    line.add("id", state.terms.id)
+        .add("upstream", placed ? placed->upstream : placed.error().upstream)
+        .add("holder", placed ? placed->holder : std::string{})
+        .add("resident", choice.resident ? 1 : 0)
+        .add("cost_ms", static_cast<std::int64_t>(choice.cost_ms))
+        .add("outcome", placed ? std::string_view{"ready"} : core::to_string(placed.error().failure.cause))
+        .add("ms", took);
+    this->context.log.write(line);
+    if(!placed) {
+        state.path += ";load@" + placed.error().upstream + ':';
+        state.path += core::to_string(placed.error().failure.cause);
+        state.excluded.insert(placed.error().upstream);
+        state.last = std::move(placed.error().failure);
         state.last.verdict = state.verdict;
-        co_return false;
+        co_return std::nullopt;
     }
-    this->context.upstreams.observe_adapter(
-        choice.upstream, state.terms.model, state.terms.adapter, true, *version, this->context.time.now());
-    co_return true;
+    co_return std::move(*placed);
 }
 
-asio::awaitable<forwarder::step> forwarder::send(exchange_state& state, const selection& choice) {
-    const auto& upstream = choice.upstream;
+asio::awaitable<forwarder::step> forwarder::send(exchange_state& state, const dispatched& placed) {
+    const auto& upstream = placed.upstream;
     auto* known = this->context.upstreams.find(upstream);
     if(state.caller_gone) {
         state.outcome = "caller_gone";
@@ -307,15 +346,13 @@
     }
 
     ++known->in_flight;
-    known->pending_tokens += choice.cold_tokens;
-    if(!state.terms.adapter.empty()) {
-        this->context.placement.begin_use(upstream, state.terms.model, state.terms.adapter);
-    }
+    known->pending_tokens += placed.cold_tokens;
     const auto address = known->entry.address;
     auto opened = co_await this->context.client.open(address, std::move(outgoing), std::move(options));
     patience.cancel();
+    this->context.dispatch.started(placed);
     if(known = this->context.upstreams.find(upstream); known != nullptr) {
-        known->pending_tokens -= std::min(known->pending_tokens, choice.cold_tokens);
+        known->pending_tokens -= std::min(known->pending_tokens, placed.cold_tokens);
     }
     auto next = step::stop;
     if(opened) {
@@ -323,9 +360,6 @@
     } else {
         next = this->failed(state, upstream, opened.error());
     }
-    if(!state.terms.adapter.empty()) {
-        this->context.placement.end_use(upstream, state.terms.model, state.terms.adapter);
-    }
     if(known = this->context.upstreams.find(upstream); known != nullptr && known->in_flight > 0u) {
         --known->in_flight;
     }
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -14,6 +14,7 @@
 #include <lagoonsaddle/cluster/quarantine_service.hpp>
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/edge/decision_log.hpp>
+#include <lagoonsaddle/edge/dispatch_service.hpp>
 #include <lagoonsaddle/edge/placement_service.hpp>
 #include <lagoonsaddle/edge/protocol.hpp>
 #include <lagoonsaddle/edge/retry_budget.hpp>
@@ -37,6 +38,7 @@
     upstream_selector& selector;
     retry_budget& budget;
     placement_service& placement;
+    dispatch_service& dispatch;
     cluster::quarantine_service& quarantine;
     cluster::membership_service& membership;
     operate::metrics_registry& metrics;
@@ -70,8 +72,10 @@
 
     [[nodiscard]] boost::asio::awaitable<void> serve(exchange_state& state);
     [[nodiscard]] boost::asio::awaitable<step> attempt(exchange_state& state);
-    [[nodiscard]] boost::asio::awaitable<bool> make_resident(exchange_state& state, const selection& choice);
-    [[nodiscard]] boost::asio::awaitable<step> send(exchange_state& state, const selection& choice);
+    /*! @brief Chooses the upstream of a request for a model through the availability zone's holder. */
+    [[nodiscard]] boost::asio::awaitable<std::optional<dispatched>> place(
+        exchange_state& state, const selection& choice);
+    [[nodiscard]] boost::asio::awaitable<step> send(exchange_state& state, const dispatched& placed);
     [[nodiscard]] boost::asio::awaitable<step> receive(
         exchange_state& state, const std::string& upstream, http::response_stream& answer);
     [[nodiscard]] boost::asio::awaitable<step> pass_stream(
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -10,7 +10,6 @@
 
 #include <lagoonsaddle/core/hash.hpp>
 #include <lagoonsaddle/edge/placement_service.hpp>
-#include <lagoonsaddle/wire/codec.hpp>
 
 namespace lagoonsaddle::edge {
 
@@ -19,12 +18,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds lease_tick{100};
-/*! @brief Time between two exchanges of load per `usage_nodes` nodes: a lease holder receives one from each node. */
-constexpr std::chrono::milliseconds usage_interval{60};
-constexpr std::size_t usage_nodes{10u};
-constexpr std::chrono::milliseconds usage_timeout{1'000};
-/*! @brief Age beyond which a node's reported load is dropped. */
-constexpr std::chrono::milliseconds usage_lifetime{1'500};
 /*! @brief Time after the start in which an unknown holder may still appear in the membership. */
 constexpr std::chrono::seconds membership_settle{3};
 /*! @brief Shortest time between two reports of an upstream whose evictions are on their way. */
@@ -36,8 +29,6 @@
 /*! @brief Time between two orders to load the base model, in case the first was lost. */
 constexpr std::chrono::milliseconds model_order_interval{1'000};
 constexpr std::chrono::milliseconds idle_interval{1'000};
-/*! @brief Time for the way to the lease holder and back, beyond the time that the request may wait. */
-constexpr std::chrono::milliseconds peer_margin{100};
 
 /*! @brief Expiry of a timer that only waits to be cancelled. */
 constexpr std::chrono::hours core_clock_end{24 * 365};
@@ -54,8 +45,6 @@
     : context{uses_of}, settings{std::move(options)}, started{this->context.time.now()} {}
 
 void placement_service::start() {
-    asio::co_spawn(
-        this->context.io, [self = this->shared_from_this()] { return self->send_usage(); }, asio::detached);
     this->upstreams_changed();
 }
 
@@ -285,163 +274,32 @@
     return true;
 }
 
-void placement_service::touch(const wire::adapter_use& use) {
-    if(const auto found = this->drivers.find(use.upstream); found != this->drivers.end()) {
-        found->second->ledger.touch(use.model, use.adapter, this->context.time.now());
-    }
-}
-
-void placement_service::begin_use(std::string_view upstream, std::string_view model, std::string_view adapter) {
-    ++this->active_uses[use_key{upstream, model, adapter}];
-    this->touch({.upstream = std::string{upstream}, .model = std::string{model}, .adapter = std::string{adapter}});
-}
-
-void placement_service::end_use(std::string_view upstream, std::string_view model, std::string_view adapter) {
-    const use_key key{upstream, model, adapter};
-    if(const auto found = this->active_uses.find(key); found != this->active_uses.end() && --found->second == 0u) {
-        this->active_uses.erase(found);
-    }
-    this->recent_uses.insert(key);
-    this->touch({.upstream = std::string{upstream}, .model = std::string{model}, .adapter = std::string{adapter}});
-}
-
-wire::fleet_load placement_service::receive_usage(const std::string& peer, const wire::adapter_usage& usage) {
-    for(const auto& use : usage.uses) {
-        this->touch(use);
-    }
-    const auto now = this->context.time.now();
-    for(const auto& load : usage.loads) {
-        if(const auto found = this->drivers.find(load.upstream); found != this->drivers.end()) {
-            found->second->loads[peer] = {.load = load, .at = now};
-        }
-    }
-    return this->load_of_others(peer);
-}
-
-wire::fleet_load placement_service::load_of_others(const std::string& node) {
-    const auto now = this->context.time.now();
-    wire::fleet_load sum{};
-    for(auto& [upstream, state] : this->drivers) {
-        wire::upstream_load total{.upstream = upstream, .free_places = state->ledger.free_places(now)};
-        std::erase_if(state->loads, [now](const auto& entry) { return now - entry.second.at > usage_lifetime; });
-        for(const auto& [other, reported] : state->loads) {
-            if(other != node) {
-                total.in_flight += reported.load.in_flight;
-                total.pending_tokens += reported.load.pending_tokens;
-            }
-        }
-        sum.loads.push_back(std::move(total));
-    }
-    return sum;
-}
-
-void placement_service::take_fleet_load(const wire::fleet_load& load) {
-    const auto now = this->context.time.now();
-    for(const auto& entry : load.loads) {
-        if(auto* known = this->context.upstreams.find(entry.upstream)) {
-            known->peers = known_upstream::peer_load{.in_flight = entry.in_flight,
-                .pending_tokens = entry.pending_tokens,
-                .free_places = entry.free_places,
-                .at = now};
-        }
-    }
-}
-
-std::map<std::string, wire::adapter_usage> placement_service::collect_usage() {
-    std::map<std::string, wire::adapter_usage> messages{};
-    const auto message_for = [&](const std::string& upstream) -> wire::adapter_usage* {
-        const auto* known = this->context.upstreams.find(upstream);
-        const auto* group = this->service_of(upstream);
-        if(known == nullptr || group == nullptr || group->models.empty()) {
-            return nullptr;
-        }
-        const auto& lease = this->tracker(known->entry.availability_zone).current();
-        return lease ? &messages[lease->lease.holder] : nullptr;
-    };
-    auto uses = std::exchange(this->recent_uses, {});
-    for(const auto& [key, count] : this->active_uses) {
-        uses.insert(key);
-    }
-    for(const auto& [upstream, model, adapter] : uses) {
-        if(auto* message = message_for(upstream)) {
-            message->uses.push_back({.upstream = upstream, .model = model, .adapter = adapter});
-        }
-    }
-    for(const auto& [upstream, known] : this->context.upstreams.all()) {
-        if(auto* message = message_for(upstream); message != nullptr) {
-            message->loads.push_back(
-                {.upstream = upstream, .in_flight = known.in_flight, .pending_tokens = known.pending_tokens});
-        }
+void placement_service::touch(const std::string& upstream, std::string_view model, std::string_view adapter) {
+    if(const auto found = this->drivers.find(upstream); found != this->drivers.end() && !adapter.empty()) {
+        found->second->ledger.touch(model, adapter, this->context.time.now());
     }
-    return messages;
 }
 
-asio::awaitable<void> placement_service::exchange_usage(std::string holder, wire::adapter_usage usage) {
-    if(holder == this->settings.self) {
-        this->take_fleet_load(this->receive_usage(holder, usage));
-        co_return;
-    }
-    const auto peer = this->context.peers.find(holder);
-    if(!peer) {
-        co_return;
-    }
-    auto body = wire::pack(usage);
-    const auto reply = co_await peer->call(wire::message_type::adapter_usage, std::move(body), usage_timeout);
-    if(!reply) {
-        co_return;
-    }
-    if(const auto load = wire::unpack<wire::fleet_load>(reply->body)) {
-        this->take_fleet_load(*load);
-    }
+std::optional<std::string> placement_service::holder_of(std::string_view zone) const {
+    const auto found = this->leases.find(zone);
+    const bool held =
+        found != this->leases.end() && found->second.current() && this->status_of(found->second) == holder_status::live;
+    return held ? std::optional{found->second.current()->lease.holder} : std::nullopt;
 }
 
-asio::awaitable<void> placement_service::send_usage() {
-    while(!this->releasing) {
-        const auto nodes = this->context.membership.members()->size();
-        co_await sleep(usage_interval * static_cast<int>(1u + nodes / usage_nodes));
-        for(auto& [holder, usage] : this->collect_usage()) {
-            asio::co_spawn(
-                this->context.io,
-                [self = this->shared_from_this(), holder = holder, usage = std::move(usage)]() mutable {
-                    return self->exchange_usage(std::move(holder), std::move(usage));
-                },
-                asio::detached);
-        }
-    }
+bool placement_service::may_order(std::string_view zone) const {
+    const auto found = this->leases.find(zone);
+    return found != this->leases.end() && !this->releasing && found->second.may_order(this->context.time.now());
 }
 
-asio::awaitable<core::result<std::uint64_t>> placement_service::ensure(wire::adapter_wanted wanted) {
-    const auto* known = this->context.upstreams.find(wanted.upstream);
-    if(known == nullptr) {
-        co_return core::fail(core::reason::unavailable, "the upstream is gone");
-    }
-    const auto& lease = this->tracker(known->entry.availability_zone);
-    if(lease.is_holder()) {
-        co_return co_await this->ensure_here(std::move(wanted));
-    }
-    const auto holder = lease.current() ? lease.current()->lease.holder : std::string{};
-    const auto peer = holder.empty() ? nullptr : this->context.peers.find(holder);
-    if(!peer) {
-        co_return core::fail(core::reason::unavailable, "no live node orders loads in the availability zone");
-    }
-    const auto timeout = std::chrono::milliseconds{wanted.timeout_ms} + peer_margin;
-    const auto reply = co_await peer->call(wire::message_type::adapter_wanted, wire::pack(wanted), timeout);
-    if(!reply) {
-        co_return core::fail(reply.error().cause, "the lease holder did not answer: " + reply.error().message);
-    }
-    const auto answer = wire::unpack<wire::adapter_ready>(reply->body);
-    if(!answer) {
-        co_return tl::make_unexpected(answer.error());
-    }
-    if(answer->failure) {
-        co_return tl::make_unexpected(wire::from_wire(*answer->failure));
-    }
-    co_return answer->version;
+bool placement_service::can_place(const std::string& upstream, std::string_view model, std::string_view adapter) const {
+    const auto found = this->drivers.find(upstream);
+    return found == this->drivers.end() || found->second->ledger.can_place(model, adapter, this->context.time.now());
 }
 
-asio::awaitable<core::result<std::uint64_t>> placement_service::ensure_here(wire::adapter_wanted wanted) {
+asio::awaitable<core::result<std::uint64_t>> placement_service::ensure(adapter_request wanted) {
     const auto begin = this->context.time.now();
-    const auto deadline = begin + std::chrono::milliseconds{wanted.timeout_ms};
+    const auto deadline = begin + wanted.timeout;
     if(!this->drives(wanted.upstream)) {
         co_return core::fail(core::reason::lease_expired, "this node does not order loads of the upstream");
     }
@@ -455,7 +313,7 @@
 }
 
 asio::awaitable<core::result<std::uint64_t>> placement_service::wait_resident(
-    const wire::adapter_wanted& wanted, std::shared_ptr<driver> state, core::time_point deadline) {
+    const adapter_request& wanted, std::shared_ptr<driver> state, core::time_point deadline) {
     while(true) {
         const auto now = this->context.time.now();
         if(const auto version = state->ledger.resident(wanted.model, wanted.adapter);
@@ -570,6 +428,10 @@
     }
     state.ledger.record(order, *outcome, now);
     state.progress.cancel();
+    if(order.load && *outcome == order_outcome::done) {
+        const auto version = state.ledger.resident(order.model, order.adapter).value_or(0u);
+        this->context.upstreams.observe_adapter(upstream, order.model, order.adapter, true, version, now);
+    }
     if(!order.load && (*outcome == order_outcome::accepted || *outcome == order_outcome::done)) {
         this->context.upstreams.observe_adapter(upstream, order.model, order.adapter, false, 0u, now);
     }
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -9,7 +9,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -17,7 +16,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <lagoonsaddle/cluster/membership_service.hpp>
-#include <lagoonsaddle/cluster/peer_directory.hpp>
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/edge/decision_log.hpp>
 #include <lagoonsaddle/edge/lease_tracker.hpp>
@@ -25,7 +23,6 @@
 #include <lagoonsaddle/edge/route_table.hpp>
 #include <lagoonsaddle/edge/slot_ledger.hpp>
 #include <lagoonsaddle/edge/upstream_table.hpp>
-#include <lagoonsaddle/wire/messages.hpp>
 
 namespace lagoonsaddle::edge {
 
@@ -39,6 +36,18 @@
     std::chrono::milliseconds lease_time{3'000};
 };
 
+/*! @brief An adapter that a request needs on an upstream. */
+struct adapter_request {
+    std::string upstream{};
+    std::string model{};
+    std::string adapter{};
+    /*! @brief Oldest version that may serve; 0 for any. */
+    std::uint64_t version_min{};
+    std::chrono::milliseconds timeout{};
+    /*! @brief Wait for a place instead of failing with `overloaded` when all are in use. */
+    bool may_wait{};
+};
+
 /*! @brief What the service uses; everything must outlive it. */
 struct placement_context {
     boost::asio::io_context& io;
@@ -49,11 +58,10 @@
     route_table& routes;
     upstream_table& upstreams;
     cluster::membership_service& membership;
-    cluster::peer_directory& peers;
 };
 
 /**
- * @brief Makes adapters resident: through the node that holds the lease of the upstream's availability zone.
+ * @brief Keeps the leases of availability zones and orders the loads of the upstreams whose lease this node holds.
  *
  * All state is used from the one thread that runs the `io_context`.
  */
@@ -68,24 +76,26 @@
     [[nodiscard]] boost::asio::awaitable<void> release();
 
     /**
-     * @brief Makes an adapter resident on an upstream, through its lease holder.
+     * @brief Makes an adapter resident on an upstream whose loads this node orders.
      * @param wanted What is wanted.
      * @return The resident version, or an error; the request has not been sent in either case.
      */
-    [[nodiscard]] boost::asio::awaitable<core::result<std::uint64_t>> ensure(wire::adapter_wanted wanted);
+    [[nodiscard]] boost::asio::awaitable<core::result<std::uint64_t>> ensure(adapter_request wanted);
+
+    /*! @brief Returns the live node that orders loads in an availability zone, or nothing. */
+    [[nodiscard]] std::optional<std::string> holder_of(std::string_view zone) const;
+
+    /*! @brief Tells whether this node may order loads in an availability zone now. */
+    [[nodiscard]] bool may_order(std::string_view zone) const;
 
-    /*! @brief Answers `ensure` of a peer, when this node holds the lease. */
-    [[nodiscard]] boost::asio::awaitable<core::result<std::uint64_t>> ensure_here(wire::adapter_wanted wanted);
+    /*! @brief Tells whether an upstream whose loads this node orders holds an adapter or has a place for it. */
+    [[nodiscard]] bool can_place(const std::string& upstream, std::string_view model, std::string_view adapter) const;
 
     /*! @brief Tells whether some live node can order loads in an availability zone. */
     [[nodiscard]] bool can_load(std::string_view zone) const;
 
-    /*! @brief Notes that a request begins to use an adapter; `end_use` has to follow. */
-    void begin_use(std::string_view upstream, std::string_view model, std::string_view adapter);
-    void end_use(std::string_view upstream, std::string_view model, std::string_view adapter);
-
-    /*! @brief Takes over the uses of a peer, and returns the load of the other nodes. */
-    [[nodiscard]] wire::fleet_load receive_usage(const std::string& peer, const wire::adapter_usage& usage);
+    /*! @brief Notes that requests use an adapter of an upstream whose loads this node orders. */
+    void touch(const std::string& upstream, std::string_view model, std::string_view adapter);
 
     /*! @brief Takes over a lease record; a null record was removed. */
     void lease_changed(const std::string& zone, const stored_lease* record);
@@ -114,32 +124,18 @@
         std::uint64_t started_ms{};
         /*! @brief When the last report that was taken over was asked for. */
         std::optional<core::time_point> reported{};
-
-        /*! @brief Load that each node reported, with the time. */
-        struct reported_load {
-            wire::upstream_load load{};
-            core::time_point at{};
-        };
-
-        std::map<std::string, reported_load> loads{};
         /*! @brief When the load of the base model was last ordered. */
         core::time_point model_ordered{};
     };
 
     [[nodiscard]] boost::asio::awaitable<void> keep_lease(std::string zone);
     [[nodiscard]] boost::asio::awaitable<void> drive(std::string upstream);
-    [[nodiscard]] boost::asio::awaitable<void> send_usage();
-    [[nodiscard]] boost::asio::awaitable<void> exchange_usage(std::string holder, wire::adapter_usage usage);
-    [[nodiscard]] std::map<std::string, wire::adapter_usage> collect_usage();
-    [[nodiscard]] wire::fleet_load load_of_others(const std::string& node);
-    void take_fleet_load(const wire::fleet_load& load);
-    void touch(const wire::adapter_use& use);
     [[nodiscard]] boost::asio::awaitable<bool> load_missing_model(const std::string& upstream, driver& state);
     [[nodiscard]] boost::asio::awaitable<void> give(
         const std::string& upstream, driver& state, const ledger_order& order);
     [[nodiscard]] boost::asio::awaitable<bool> synchronize(const std::string& upstream, driver& state);
     [[nodiscard]] boost::asio::awaitable<core::result<std::uint64_t>> wait_resident(
-        const wire::adapter_wanted& wanted, std::shared_ptr<driver> state, core::time_point deadline);
+        const adapter_request& wanted, std::shared_ptr<driver> state, core::time_point deadline);
     [[nodiscard]] boost::asio::awaitable<void> pause(driver& state, core::duration time);
 
     [[nodiscard]] lease_tracker& tracker(const std::string& zone);
@@ -158,12 +154,6 @@
     std::set<std::string> kept_zones{};
     std::map<std::string, std::shared_ptr<driver>, std::less<>> drivers{};
     std::map<std::string, announced, std::less<>> versions{};
-    /*! @brief Upstream, model and adapter of a use. */
-    using use_key = std::tuple<std::string, std::string, std::string>;
-    /*! @brief Uses since the last message. */
-    std::set<use_key> recent_uses{};
-    /*! @brief Requests in progress. */
-    std::map<use_key, unsigned> active_uses{};
     /*! @brief Upstream that loads a base model at present, by availability zone. */
     std::map<std::string, std::string, std::less<>> model_loads{};
 };
--- a/src/lagoonsaddle/edge/upstream_selector.cpp
+++ b/src/lagoonsaddle/edge/upstream_selector.cpp
@@ -42,10 +42,7 @@
 constexpr double service_cost_ms{120.0};
 /*! @brief Upstream whose adapter places are all in use: a load has to wait for one. */
 constexpr double no_place_cost_ms{400.0};
-/*! @brief Age beyond which the reported load of the other nodes is ignored. */
-constexpr std::chrono::milliseconds peer_load_lifetime{2'000};
-/*! @brief Load that each other node is assumed to put on an upstream, in parts of this node's, while none is reported.
- */
+/*! @brief Load that each other node is assumed to put on a plain service, in parts of this node's. */
 constexpr double peer_load_share{0.5};
 
 /*! @brief Returns the key of a shared prefix of prompts; cached parts belong to one adapter. */
@@ -53,27 +50,20 @@
     return adapter + '#' + std::to_string(shared_prefix);
 }
 
-[[nodiscard]] bool fresh(const known_upstream& upstream, core::time_point now) {
-    return upstream.peers && now - upstream.peers->at < peer_load_lifetime;
-}
-
-[[nodiscard]] double waiting_cost(
-    const known_upstream& upstream, bool serves_models, std::size_t nodes, core::time_point now) {
-    const double share = 1.0 + peer_load_share * static_cast<double>(nodes > 0u ? nodes - 1u : 0u);
-    if(!serves_models) {
-        const auto slots = std::max(upstream.entry.slots, 1u);
-        return service_cost_ms * share * upstream.in_flight / slots;
+/*! @brief Returns the delay by requests in progress on an upstream. */
+[[nodiscard]] double waiting_cost(const known_upstream& upstream, const selection_request& wanted) {
+    if(wanted.model.empty()) {
+        const double share = 1.0 + peer_load_share * static_cast<double>(std::max<std::size_t>(wanted.nodes, 1u) - 1u);
+        return service_cost_ms * share * upstream.in_flight / std::max(upstream.entry.slots, 1u);
     }
-    auto tokens = static_cast<double>(upstream.pending_tokens);
-    auto running = static_cast<double>(upstream.in_flight);
-    if(fresh(upstream, now)) {
-        tokens += static_cast<double>(upstream.peers->pending_tokens);
-        running += static_cast<double>(upstream.peers->in_flight);
-    } else {
-        tokens *= share;
-        running *= share;
+    if(wanted.exact_load != nullptr) {
+        const auto load = wanted.exact_load->load_of(upstream.entry.id);
+        return static_cast<double>(load.pending_tokens) / prompt_tokens_per_ms +
+               batch_cost_ms * static_cast<double>(load.in_flight);
     }
-    return tokens / prompt_tokens_per_ms + batch_cost_ms * running;
+    // The holder of the availability zone chooses again by the whole load.
+    return static_cast<double>(upstream.pending_tokens) / prompt_tokens_per_ms + batch_cost_ms * upstream.in_flight +
+           (wanted.zone_delay_ms ? wanted.zone_delay_ms(upstream.entry.availability_zone) : 0.0);
 }
 
 [[nodiscard]] double trouble_cost(const known_upstream& upstream, core::time_point now) {
@@ -132,7 +122,8 @@
     ranked_upstreams ranking{};
     for(const auto* upstream : table.usable(wanted.service)) {
         const bool excluded = wanted.excluded != nullptr && wanted.excluded->contains(upstream->entry.id);
-        if(!excluded && (wanted.model.empty() || upstream->holds_model(wanted.model))) {
+        const bool elsewhere = !wanted.zone.empty() && upstream->entry.availability_zone != wanted.zone;
+        if(!excluded && !elsewhere && (wanted.model.empty() || upstream->holds_model(wanted.model))) {
             ranking.emplace_back(core::hash(key + upstream->entry.id), upstream);
         }
     }
@@ -175,7 +166,8 @@
         const auto version = upstream.adapter_version(wanted.model, wanted.adapter, now);
         const bool resident = !placed || (version && *version >= wanted.version_min);
         const bool kept = kept_on.contains(upstream.entry.id);
-        double cost = waiting_cost(upstream, serves_models, wanted.nodes, now) + trouble_cost(upstream, now);
+        const double wait = waiting_cost(upstream, wanted);
+        double cost = wait + trouble_cost(upstream, now);
         cost += upstream.entry.availability_zone == this->settings.availability_zone ? 0.0 : zone_cost_ms;
         if(shares && !kept) {
             cost += static_cast<double>(wanted.shared_tokens) / prompt_tokens_per_ms;
@@ -187,13 +179,14 @@
             cost += load_cost_ms;
             const bool loadable = !wanted.can_load || wanted.can_load(upstream.entry.availability_zone);
             cost += loadable ? 0.0 : no_loader_cost_ms;
-            cost += fresh(upstream, now) && upstream.peers->free_places == 0u ? no_place_cost_ms : 0.0;
+            cost += wanted.has_place && !wanted.has_place(upstream.entry.id) ? no_place_cost_ms : 0.0;
         }
         if(!best || cost < best->cost_ms) {
             const auto cached = kept ? std::min(wanted.shared_tokens, wanted.prompt_tokens) : 0u;
             best = selection{.upstream = upstream.entry.id,
                 .resident = resident,
                 .cost_ms = cost,
+                .wait_ms = wait,
                 .cold_tokens = wanted.prompt_tokens - cached};
         }
     }
--- a/src/lagoonsaddle/edge/upstream_selector.hpp
+++ b/src/lagoonsaddle/edge/upstream_selector.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include <lagoonsaddle/core/clock.hpp>
+#include <lagoonsaddle/edge/reservation_ledger.hpp>
 #include <lagoonsaddle/edge/upstream_table.hpp>
 
 namespace lagoonsaddle::edge {
@@ -30,12 +31,20 @@
     std::uint64_t shared_tokens{};
     /*! @brief Oldest version of the adapter that may serve. */
     std::uint64_t version_min{};
+    /*! @brief Availability zone to choose in; all when empty. */
+    std::string_view zone{};
     /*! @brief Upstreams that have failed this request. */
     const std::set<std::string>* excluded{};
     /*! @brief Live nodes of the fleet. */
     std::size_t nodes{1u};
     /*! @brief Tells whether some node can order loads in an availability zone at present. */
     std::function<bool(std::string_view)> can_load{};
+    /*! @brief Delay at the upstreams of an availability zone in milliseconds, as its holder said. */
+    std::function<double(std::string_view)> zone_delay_ms{};
+    /*! @brief All requests that were placed on the upstreams, where this node places them. */
+    const reservation_ledger* exact_load{};
+    /*! @brief Tells whether an upstream has a place for the adapter, where this node orders its loads. */
+    std::function<bool(const std::string&)> has_place{};
 };
 
 /*! @brief A chosen upstream. */
@@ -45,6 +54,8 @@
     bool resident{true};
     /*! @brief Estimated time until the upstream can begin, in milliseconds. */
     double cost_ms{};
+    /*! @brief Part of the cost that is due to requests in progress there. */
+    double wait_ms{};
     /*! @brief Prompt tokens that the upstream probably has to read, as it does not keep them. */
     std::uint64_t cold_tokens{};
 };
--- a/src/lagoonsaddle/edge/upstream_table.hpp
+++ b/src/lagoonsaddle/edge/upstream_table.hpp
@@ -26,15 +26,6 @@
     /*! @brief Prompt tokens of this node's requests that have not had their first event yet. */
     std::uint64_t pending_tokens{};
 
-    /*! @brief What the other nodes reported through the lease holder. */
-    struct peer_load {
-        std::uint64_t in_flight{};
-        std::uint64_t pending_tokens{};
-        std::uint64_t free_places{};
-        core::time_point at{};
-    };
-
-    std::optional<peer_load> peers{};
     /*! @brief When the upstream last refused a request because it was full. */
     core::time_point refused_at{core::time_point::min()};
     /*! @brief Set while the entry is missing after an outage of the store, until it counts as gone. */
--- a/src/lagoonsaddle/wire/frame.hpp
+++ b/src/lagoonsaddle/wire/frame.hpp
@@ -33,11 +33,10 @@
     ownership_get = 17,
     ownership_reply = 18,
     quarantine_update = 19,
-    adapter_wanted = 20,
-    adapter_ready = 21,
-    adapter_usage = 22,
-    fleet_load = 23,
-    store_news = 24
+    place_request = 20,
+    placement = 21,
+    request_progress = 22,
+    store_news = 23
 };
 
 /*! @brief One message between nodes. */
--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -206,63 +206,57 @@
     MSGPACK_DEFINE_ARRAY(digest, crashes, cleared, until_unix_ms)
 };
 
-/*! @brief Asks the node that orders an upstream's loads to make an adapter resident there. */
-struct adapter_wanted {
-    std::string upstream{};
+/*! @brief Asks the node that orders the loads of an availability zone's upstreams to place a request on one of them. */
+struct place_request {
+    /*! @brief Number of the request at its sender, for `request_progress`. */
+    std::uint64_t ticket{};
+    std::string zone{};
+    std::string service{};
     std::string model{};
     std::string adapter{};
-    /*! @brief Oldest version that may serve; 0 for any. */
+    /*! @brief Oldest version of the adapter that may serve; 0 for any. */
     std::uint64_t version_min{};
+    std::uint64_t prompt_tokens{};
+    /*! @brief Hash of the leading parts of the prompt that other requests share; 0 when nothing is shared. */
+    std::uint64_t shared_prefix{};
+    /*! @brief Tokens of these parts. */
+    std::uint64_t shared_tokens{};
+    /*! @brief Upstreams that have failed the request. */
+    std::vector<std::string> excluded{};
+    /*! @brief Longest time to wait for the load of the adapter. */
     std::uint64_t timeout_ms{};
+    /*! @brief Time after which the request has ended in any case. */
+    std::uint64_t lifetime_ms{};
     /*! @brief Wait for a place instead of answering `overloaded` when all are in use. */
     bool may_wait{};
 
-    MSGPACK_DEFINE_ARRAY(upstream, model, adapter, version_min, timeout_ms, may_wait)
+    MSGPACK_DEFINE_ARRAY(ticket, zone, service, model, adapter, version_min, prompt_tokens, shared_prefix,
+        shared_tokens, excluded, timeout_ms, lifetime_ms, may_wait)
 };
 
-/*! @brief Answer to `adapter_wanted`. */
-struct adapter_ready {
+/*! @brief Answer to `place_request`. */
+struct placement {
+    /*! @brief Where the request goes, or which upstream was tried last. */
+    std::string upstream{};
+    /*! @brief Resident version of the adapter. */
     std::uint64_t version{};
+    /*! @brief Prompt tokens that the upstream has to read. */
+    std::uint64_t cold_tokens{};
+    /*! @brief Delay until the upstream can begin, as estimated. */
+    std::uint64_t delay_ms{};
     std::optional<wire_error> failure{};
 
-    MSGPACK_DEFINE_ARRAY(version, failure)
-};
-
-/*! @brief Use of one adapter on one upstream by the requests of one node. */
-struct adapter_use {
-    std::string upstream{};
-    std::string model{};
-    std::string adapter{};
-
-    MSGPACK_DEFINE_ARRAY(upstream, model, adapter)
-};
-
-/*! @brief Requests of one node, or of all other nodes, on one upstream. */
-struct upstream_load {
-    std::string upstream{};
-    std::uint64_t in_flight{};
-    /*! @brief Prompt tokens of requests without an answer yet. */
-    std::uint64_t pending_tokens{};
-    /*! @brief Adapter places that are free or can be freed at once; set in answers only. */
-    std::uint64_t free_places{};
-
-    MSGPACK_DEFINE_ARRAY(upstream, in_flight, pending_tokens, free_places)
-};
-
-/*! @brief What a node's requests use, sent to the node that orders the upstreams' loads; answered by `fleet_load`. */
-struct adapter_usage {
-    /*! @brief Adapters in use, or used since the last message, for the choice of evictions. */
-    std::vector<adapter_use> uses{};
-    std::vector<upstream_load> loads{};
-
-    MSGPACK_DEFINE_ARRAY(uses, loads)
+    MSGPACK_DEFINE_ARRAY(upstream, version, cold_tokens, delay_ms, failure)
 };
 
-/*! @brief Load that the other nodes put on the upstreams whose loads the sender orders. */
-struct fleet_load {
-    std::vector<upstream_load> loads{};
+/*! @brief What became of requests that were placed; numbers are those of `place_request`. Has no answer. */
+struct request_progress {
+    /*! @brief The upstream has begun to answer. */
+    std::vector<std::uint64_t> started{};
+    /*! @brief The request has ended. */
+    std::vector<std::uint64_t> ended{};
 
-    MSGPACK_DEFINE_ARRAY(loads)
+    MSGPACK_DEFINE_ARRAY(started, ended)
 };
 
 /*! @brief What a node has just read in the platform's store, for nodes that read it later or cannot reach it. */
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -170,11 +170,6 @@
         this->written.notify_all();
     }
 
-    [[nodiscard]] bool contains(std::string_view text) {
-        const std::lock_guard lock{this->mutex};
-        return this->has(text);
-    }
-
     /*! @brief Waits until a line contains a text; gives up after a long time. */
     [[nodiscard]] bool wait_for(std::string_view text) {
         std::unique_lock lock{this->mutex};
@@ -308,9 +303,12 @@
                                                                                          .control = control,
                                                                                          .routes = routes,
                                                                                          .upstreams = upstreams,
-                                                                                         .membership = *membership,
-                                                                                         .peers = peers},
+                                                                                         .membership = *membership},
         placement_options{.self = "n"})};
+    std::shared_ptr<dispatch_service> dispatch{std::make_shared<dispatch_service>(
+        dispatch_context{
+            .io = context, .time = clock, .upstreams = upstreams, .placement = *placement, .peers = peers},
+        "n")};
     forwarder requests{forwarder_context{.time = clock,
         .log = log,
         .format = format,
@@ -320,6 +318,7 @@
         .selector = selector,
         .budget = budget,
         .placement = *placement,
+        .dispatch = *dispatch,
         .quarantine = quarantine,
         .membership = *membership,
         .metrics = metrics}};
@@ -427,7 +426,8 @@
     REQUIRE(answer.has_value());
     CHECK(answer->status == 503u);
     CHECK(this->upstream.seen.empty());
-    CHECK(this->log.contains("outcome=refused verdict=not_run"));
+    // The line is written after the answer.
+    CHECK(this->log.wait_for("outcome=refused verdict=not_run"));
 }
 
 // Guards against a 404 of a node that knows no configuration yet, and a 503 for a path that no route has.
--- /dev/null
+++ b/test/edge/placement_fixture.hpp
@@ -0,0 +1,231 @@
+#ifndef LAGOONSADDLE_TEST_EDGE_PLACEMENT_FIXTURE_HPP
+#define LAGOONSADDLE_TEST_EDGE_PLACEMENT_FIXTURE_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <exception>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <doctest/doctest.h>
+
+#include <lagoonsaddle/edge/dispatch_service.hpp>
+#include <lagoonsaddle/edge/placement_service.hpp>
+
+namespace lagoonsaddle::edge {
+
+/*! @brief Store that only keeps leases. */
+class lease_store final : public record_store {
+public:
+    boost::asio::awaitable<core::result<record_page>> list(record_kind) override {
+        co_return core::fail(core::reason::unavailable, "not used");
+    }
+
+    boost::asio::awaitable<core::result<record_page>> watch(
+        record_kind, std::uint64_t, std::chrono::milliseconds, freshness) override {
+        co_return core::fail(core::reason::unavailable, "not used");
+    }
+
+    boost::asio::awaitable<core::result<stored_lease>> read_lease(std::string zone) override {
+        const auto found = this->leases.find(zone);
+        if(found == this->leases.end()) {
+            co_return core::fail(core::reason::not_found, "no lease");
+        }
+        co_return found->second;
+    }
+
+    boost::asio::awaitable<core::result<stored_lease>> write_lease(
+        lease_record lease, std::uint64_t revision) override {
+        const auto found = this->leases.find(lease.availability_zone);
+        if((found == this->leases.end() ? 0u : found->second.revision) != revision) {
+            co_return core::fail(core::reason::conflict, "another revision");
+        }
+        const stored_lease stored{.lease = lease, .revision = ++this->revisions};
+        this->leases[lease.availability_zone] = stored;
+        co_return stored;
+    }
+
+    std::uint64_t revisions{};
+    std::map<std::string, stored_lease> leases{};
+};
+
+/*! @brief Engines that load adapters after a time. */
+class engine_control final : public upstream_control {
+public:
+    struct engine {
+        std::set<std::string> adapters{};
+        std::map<std::string, core::time_point> coming{};
+        std::uint64_t orders{};
+    };
+
+    explicit engine_control(const core::clock& clock) : time{clock} {}
+
+    boost::asio::awaitable<core::result<order_outcome>> order(upstream_order value) override {
+        ++this->calls;
+        boost::asio::steady_timer way{co_await boost::asio::this_coro::executor, this->way_time};
+        boost::system::error_code ignored{};
+        co_await way.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        auto& target = this->engines[value.upstream];
+        this->settle(target);
+        if(value.load && target.adapters.contains(value.adapter)) {
+            co_return order_outcome::done;
+        }
+        if(value.load && target.coming.contains(value.adapter)) {
+            co_return order_outcome::accepted;
+        }
+        if(value.expected_orders != target.orders) {
+            co_return order_outcome::out_of_turn;
+        }
+        ++target.orders;
+        if(!value.load) {
+            target.adapters.erase(value.adapter);
+            co_return order_outcome::done;
+        }
+        target.coming[value.adapter] = this->time.now() + this->load_time;
+        this->most_held = std::max(this->most_held, target.adapters.size() + target.coming.size());
+        co_return order_outcome::accepted;
+    }
+
+    boost::asio::awaitable<core::result<upstream_report>> report(core::endpoint address) override {
+        auto& target = this->engines["u" + std::to_string(address.port)];
+        this->settle(target);
+        upstream_report state{.orders_accepted = target.orders};
+        auto& held = state.models["m"];
+        for(const auto& adapter : target.adapters) {
+            held.adapters[adapter] = 1u;
+        }
+        for(const auto& [adapter, end] : target.coming) {
+            state.coming.push_back("m/" + adapter);
+        }
+        co_return state;
+    }
+
+    std::chrono::milliseconds way_time{1};
+    std::chrono::milliseconds load_time{20};
+    int calls{};
+    std::size_t most_held{};
+    std::map<std::string, engine> engines{};
+
+private:
+    void settle(engine& target) {
+        for(auto entry = target.coming.begin(); entry != target.coming.end();) {
+            if(entry->second <= this->time.now()) {
+                target.adapters.insert(entry->first);
+                entry = target.coming.erase(entry);
+            } else {
+                ++entry;
+            }
+        }
+    }
+
+    const core::clock& time;
+};
+
+class silent_sink final : public log_sink {
+public:
+    void write(const log_line&) override {}
+};
+
+/*! @brief One node that holds the lease of the availability zone of two engines, `u1` and `u2`, with two places each. */
+struct placement_fixture {
+    placement_fixture() {
+        configuration config{.version = 1u};
+        config.services.push_back({.name = "s", .adapter_slots = 2u, .models = {"m"}});
+        REQUIRE(this->routes.apply(config));
+        for(const std::uint16_t port : {std::uint16_t{1u}, std::uint16_t{2u}}) {
+            upstream_entry entry{.id = "u" + std::to_string(port),
+                .service = "s",
+                .availability_zone = "z",
+                .address = {.address = "127.0.0.1", .port = port},
+                .slots = 8u};
+            entry.models["m"].version = 1u;
+            this->upstreams.update(entry, this->clock.now());
+        }
+        REQUIRE(this->membership->bind({.address = "127.0.0.1", .port = 0u}).has_value());
+        this->membership->start(fleet::member_info{.name = "n", .availability_zone = "z", .boot_id = 1u}, {});
+        this->placement->start();
+        this->dispatch->start();
+    }
+
+    placement_fixture(const placement_fixture&) = delete;
+    placement_fixture& operator=(const placement_fixture&) = delete;
+
+    ~placement_fixture() {
+        this->context.stop();
+    }
+
+    /*! @brief Runs until a condition holds; returns whether it did. */
+    template<typename Condition>
+    [[nodiscard]] bool run_until(Condition condition, std::chrono::milliseconds limit = std::chrono::seconds{30}) {
+        const auto end = this->clock.now() + limit;
+        while(!condition() && this->clock.now() < end) {
+            this->context.run_for(std::chrono::milliseconds{2});
+        }
+        return condition();
+    }
+
+    [[nodiscard]] bool acquire() {
+        return this->run_until([this] { return this->placement->may_order("z"); });
+    }
+
+    [[nodiscard]] static adapter_request wanted(const std::string& upstream, const std::string& adapter) {
+        return {.upstream = upstream, .model = "m", .adapter = adapter, .timeout = std::chrono::seconds{20}};
+    }
+
+    /*! @brief Runs a coroutine to its end and returns its result. */
+    template<typename Value>
+    [[nodiscard]] Value run(boost::asio::awaitable<Value> work) {
+        std::optional<Value> outcome{};
+        boost::asio::co_spawn(this->context, std::move(work),
+            [&outcome](const std::exception_ptr& fault, Value value) {
+                if(!fault) {
+                    outcome = std::move(value);
+                }
+            });
+        REQUIRE(this->run_until([&outcome] { return outcome.has_value(); }));
+        return std::move(*outcome);
+    }
+
+    core::boot_clock clock{};
+    boost::asio::io_context context{1};
+    silent_sink log{};
+    lease_store store{};
+    engine_control control{this->clock};
+    route_table routes{};
+    upstream_table upstreams{};
+    std::shared_ptr<cluster::membership_service> membership{
+        std::make_shared<cluster::membership_service>(this->context, this->clock, fleet::membership_settings{})};
+    cluster::peer_directory peers{this->context, *this->membership, wire::hello{.node = "n"}};
+    std::shared_ptr<placement_service> placement{
+        std::make_shared<placement_service>(placement_context{.io = this->context,
+                                                .time = this->clock,
+                                                .log = this->log,
+                                                .store = this->store,
+                                                .control = this->control,
+                                                .routes = this->routes,
+                                                .upstreams = this->upstreams,
+                                                .membership = *this->membership},
+            placement_options{.self = "n", .availability_zone = "z", .boot_id = 1u})};
+    std::shared_ptr<dispatch_service> dispatch{std::make_shared<dispatch_service>(
+        dispatch_context{.io = this->context,
+            .time = this->clock,
+            .upstreams = this->upstreams,
+            .placement = *this->placement,
+            .peers = this->peers},
+        "n")};
+};
+
+} // namespace lagoonsaddle::edge
+
+#endif
--- a/test/edge/upstream_selector_test.cpp
+++ b/test/edge/upstream_selector_test.cpp
@@ -32,6 +32,14 @@
         return choice ? choice->upstream : "";
     }
 
+    /*! @brief Lets another request wait on an upstream, as the holder of the availability zone knows it. */
+    void place(const std::string& upstream, std::uint64_t tokens) {
+        this->load.reserve({"n", ++this->placed}, {.upstream = upstream, .cold_tokens = tokens});
+        this->wanted.exact_load = &this->load;
+    }
+
+    std::uint64_t placed{};
+    reservation_ledger load{};
     upstream_table table{};
     upstream_selector selector{{.availability_zone = "z1"}};
     core::time_point now{100s};
@@ -80,9 +88,9 @@
     this->wanted.shared_prefix = 7u;
     this->wanted.shared_tokens = 6'000u;
     const auto home = this->choose(this->wanted);
-    this->table.find(home)->peers = known_upstream::peer_load{.pending_tokens = 3'000u, .at = this->now};
+    this->place(home, 3'000u);
     CHECK(this->choose(this->wanted) == home);
-    this->table.find(home)->peers = known_upstream::peer_load{.pending_tokens = 40'000u, .at = this->now};
+    this->place(home, 40'000u);
     const auto other = this->selector.choose(this->table, this->wanted, this->now);
     CHECK(other->upstream != home);
     CHECK(other->cold_tokens == 9'000u);
@@ -134,10 +142,54 @@
 TEST_CASE_FIXTURE(upstream_selector_fixture, "choose_loaded_home_spills_to_another") {
     const auto home = this->choose(this->wanted);
     this->table.observe_adapter(home, "m", "a", true, 1u, this->now);
-    this->table.find(home)->peers = known_upstream::peer_load{.pending_tokens = 80'000u, .at = this->now};
+    this->place(home, 80'000u);
+    CHECK(this->choose(this->wanted) != home);
+}
+
+// Plays a burst of long prompts placed by one holder, without a shared part. Guards against prompts that queue behind
+// each other, and hold up the streams there, while other upstreams are idle.
+TEST_CASE_FIXTURE(upstream_selector_fixture, "choose_burst_of_long_prompts_each_upstream_gets_one_before_a_second") {
+    this->wanted.adapter = "";
+    this->wanted.zone = "z1";
+    this->wanted.prompt_tokens = 9'000u;
+    std::map<std::string, int> prompts{};
+    for(int index{}; index < 6; ++index) {
+        const auto choice = this->selector.choose(this->table, this->wanted, this->now);
+        REQUIRE(choice.has_value());
+        ++prompts[choice->upstream];
+        this->place(choice->upstream, choice->cold_tokens);
+    }
+    CHECK(prompts == std::map<std::string, int>{{"z1-1", 2}, {"z1-2", 2}, {"z1-3", 2}});
+}
+
+// Guards against a choice outside of the availability zone whose holder makes it.
+TEST_CASE_FIXTURE(upstream_selector_fixture, "choose_zone_given_returns_upstream_of_the_zone") {
+    for(const auto* adapter : {"a", "b", "c", "d"}) {
+        this->wanted.adapter = adapter;
+        this->wanted.zone = "z2";
+        CHECK(this->choose(this->wanted).starts_with("z2"));
+    }
+}
+
+// Guards against a cold adapter that waits for a place while another upstream has one.
+TEST_CASE_FIXTURE(upstream_selector_fixture, "choose_home_without_place_loads_elsewhere") {
+    const auto home = this->choose(this->wanted);
+    this->wanted.has_place = [&home](const std::string& upstream) {
+        return upstream != home;
+    };
     CHECK(this->choose(this->wanted) != home);
 }
 
+// Guards against requests that go on to an availability zone whose holder reports a long delay.
+TEST_CASE_FIXTURE(upstream_selector_fixture, "choose_zone_with_long_delay_goes_elsewhere") {
+    this->wanted.adapter = "";
+    const auto zone = this->choose(this->wanted).substr(0u, 2u);
+    this->wanted.zone_delay_ms = [&zone](std::string_view candidate) {
+        return candidate == zone ? 900.0 : 0.0;
+    };
+    CHECK(this->choose(this->wanted).substr(0u, 2u) != zone);
+}
+
 // Guards against an upstream that fails requests while its health check succeeds.
 TEST_CASE_FIXTURE(upstream_selector_fixture, "choose_failing_upstream_is_avoided_and_tried_again") {
     const auto home = this->choose(this->wanted);
