--- a/src/lagoonsaddle/cluster/quarantine_service.cpp
+++ b/src/lagoonsaddle/cluster/quarantine_service.cpp
@@ -39,6 +39,11 @@
     return this->quarantine.classify(digest, core::unix_time());
 }
 
+std::optional<policy::quarantine_record> quarantine_service::record_of(const std::string& digest) const {
+    const std::lock_guard lock{this->mutex};
+    return this->quarantine.record_of(digest, core::unix_time());
+}
+
 void quarantine_service::receive(std::string_view packed) {
     auto update = wire::unpack<wire::quarantine_update>(packed);
     if(!update) {
--- a/src/lagoonsaddle/cluster/quarantine_service.hpp
+++ b/src/lagoonsaddle/cluster/quarantine_service.hpp
@@ -49,6 +49,9 @@
      */
     [[nodiscard]] policy::standing classify(const std::string& digest) const;
 
+    /*! @brief Returns what is known of a body, or nothing. */
+    [[nodiscard]] std::optional<policy::quarantine_record> record_of(const std::string& digest) const;
+
     /**
      * @brief Applies a record that another node sent directly.
      * @param packed Packed `wire::quarantine_update`.
--- a/src/lagoonsaddle/policy/crash_quarantine.cpp
+++ b/src/lagoonsaddle/policy/crash_quarantine.cpp
@@ -144,6 +144,12 @@
     return std::erase_if(this->known, [this, now](const auto& entry) { return this->end(entry.second) <= now; });
 }
 
+std::optional<quarantine_record> crash_quarantine::record_of(
+    const std::string& digest, std::chrono::milliseconds now) const {
+    const auto* record = this->find(digest, now);
+    return record == nullptr ? std::nullopt : std::optional{*record};
+}
+
 std::vector<quarantine_record> crash_quarantine::records(std::chrono::milliseconds now) const {
     std::vector<quarantine_record> result{};
     for(const auto& [digest, record] : this->known) {
--- a/src/lagoonsaddle/policy/crash_quarantine.hpp
+++ b/src/lagoonsaddle/policy/crash_quarantine.hpp
@@ -120,6 +120,10 @@
      */
     std::size_t expire(std::chrono::milliseconds now);
 
+    /*! @brief Returns what is known of a body, or nothing. */
+    [[nodiscard]] std::optional<quarantine_record> record_of(
+        const std::string& digest, std::chrono::milliseconds now) const;
+
     /*! @brief Returns all records that have not expired, for exchanges and state dumps. */
     [[nodiscard]] std::vector<quarantine_record> records(std::chrono::milliseconds now) const;
 
