edge: a log line for each placement, send and failed attempt; more metrics; forwarder split

- placed, load, sent and attempt lines name the inputs of each decision (cost, residency, holder, version, load and failures of the upstream); each line names its node, so that the logs of several nodes can be read as one.
- metered_log counts decisions by event and outcome, also those that the log drops; metered_store counts and times calls to the store; ages, reservations, leases, processor time, memory, and a line for each known upstream.
- forwarder.cpp (about 640 lines) is split: state, answers, log lines.
- The delay that a holder reports is the mean over its zone; before, the delay of the one upstream that it chose sent rare adapters to other zones.

Tests: metered log and store, metrics of upstreams, metrics_port.

--- a/bin/entry.cpp
+++ b/bin/entry.cpp
@@ -46,7 +46,9 @@
         if(signal == SIGHUP) {
             const auto values = edge::read_entry_settings(settings_file);
             // The addresses of a running process cannot change; the file is checked so that a fault is seen now.
-            log.write(edge::log_line{"reload"}.add("outcome", values ? "valid" : values.error().message));
+            log.write(edge::log_line{"reload"}
+                          .add("outcome", values ? "valid" : "invalid")
+                          .add("message", values ? std::string{} : values.error().message));
             watch_signals(io, signals, node, log, settings_file);
             return;
         }
@@ -66,7 +68,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     const core::boot_clock clock{};
     asio::io_context io{1};
-    edge::decision_log log{STDOUT_FILENO, clock};
+    // From here on a signal to stop ends the node as planned, also while it starts.
+    asio::signal_set signals{io, SIGTERM, SIGINT, SIGHUP};
+    edge::decision_log log{STDOUT_FILENO, clock, edge::decision_log_options{.node = settings.name}};
     http::client requests{http::client_options{.connect_timeout = connect_timeout,
         .idle_timeout = idle_timeout,
         .unacknowledged_timeout = unacknowledged_timeout}};
@@ -94,7 +98,6 @@
         std::cerr << "lagoonsaddled: " << started.error().message << '\n';
         return exit_start;
     }
-    asio::signal_set signals{io, SIGTERM, SIGINT, SIGHUP};
     watch_signals(io, signals, node, log, settings_file);
     io.run();
     log.flush();
--- a/src/lagoonsaddle/edge/decision_log.cpp
+++ b/src/lagoonsaddle/edge/decision_log.cpp
@@ -3,6 +3,7 @@
 #include <cerrno>
 #include <fcntl.h>
 #include <unistd.h>
+#include <utility>
 
 #include <lagoonsaddle/edge/decision_log.hpp>
 
@@ -18,11 +19,14 @@
 
 } // namespace
 
-log_line::log_line(std::string_view event) : content{"event="} {
+log_line::log_line(std::string_view event) : content{"event="}, event_name{event} {
     this->content += event;
 }
 
 log_line& log_line::add(std::string_view key, std::string_view value) {
+    if(key == "outcome") {
+        this->outcome_name = value;
+    }
     this->content += ' ';
     this->content += key;
     this->content += '=';
@@ -44,7 +48,7 @@
 }
 
 decision_log::decision_log(int descriptor, const core::clock& clock, decision_log_options options)
-    : output{descriptor}, time{clock}, settings{options}, tokens{options.burst}, refilled{clock.now()} {
+    : output{descriptor}, time{clock}, settings{std::move(options)}, tokens{options.burst}, refilled{clock.now()} {
     const int flags = ::fcntl(this->output, F_GETFL);
     if(flags >= 0) {
         ::fcntl(this->output, F_SETFL, flags | O_NONBLOCK);
@@ -64,7 +68,11 @@
 }
 
 void decision_log::append(const std::string& text) {
-    this->buffer += "time_ms=" + std::to_string(core::unix_time().count()) + ' ' + text + '\n';
+    this->buffer += "time_ms=" + std::to_string(core::unix_time().count());
+    if(!this->settings.node.empty()) {
+        this->buffer += " node=" + this->settings.node;
+    }
+    this->buffer += ' ' + text + '\n';
 }
 
 void decision_log::write(const log_line& line) {
--- a/src/lagoonsaddle/edge/decision_log.hpp
+++ b/src/lagoonsaddle/edge/decision_log.hpp
@@ -23,8 +23,19 @@
         return this->content;
     }
 
+    [[nodiscard]] const std::string& event() const noexcept {
+        return this->event_name;
+    }
+
+    /*! @brief Returns the value of the field `outcome`, or an empty text. */
+    [[nodiscard]] const std::string& outcome() const noexcept {
+        return this->outcome_name;
+    }
+
 private:
     std::string content{};
+    std::string event_name;
+    std::string outcome_name{};
 };
 
 /*! @brief Takes log lines. */
@@ -40,6 +51,8 @@
 
 /*! @brief Options of `decision_log`. */
 struct decision_log_options {
+    /*! @brief Name of the node; stands in each line unless it is empty. */
+    std::string node{};
     /*! @brief Lines per second, averaged over the burst. */
     double lines_per_second{150.0};
     double burst{600.0};
--- a/src/lagoonsaddle/edge/dispatch_service.cpp
+++ b/src/lagoonsaddle/edge/dispatch_service.cpp
@@ -172,7 +172,7 @@
         }
         reply.upstream = choice->upstream;
         reply.cold_tokens = choice->cold_tokens;
-        reply.delay_ms = static_cast<std::uint64_t>(std::max(choice->wait_ms, 0.0));
+        reply.delay_ms = static_cast<std::uint64_t>(std::max(choice->mean_wait_ms, 0.0));
         this->ledger.reserve(key, reservation{.upstream = choice->upstream,
                                       .model = wanted.model,
                                       .adapter = wanted.adapter,
@@ -181,6 +181,7 @@
         if(wanted.adapter.empty()) {
             co_return reply;
         }
+        this->context.placement.touch(choice->upstream, wanted.model, wanted.adapter);
         const auto passed = std::chrono::duration_cast<milliseconds>(now - begin);
         const auto left = milliseconds{wanted.timeout_ms} - passed;
         adapter_request load{.upstream = choice->upstream,
--- a/src/lagoonsaddle/edge/dispatch_service.hpp
+++ b/src/lagoonsaddle/edge/dispatch_service.hpp
@@ -86,6 +86,11 @@
     /*! @brief Returns the delay at the upstreams of an availability zone, as its holder last said, in milliseconds. */
     [[nodiscard]] double zone_delay_ms(std::string_view zone, core::time_point now) const;
 
+    /*! @brief Returns the number of requests that this node has placed and that have not ended. */
+    [[nodiscard]] std::size_t reservations() const noexcept {
+        return this->ledger.all().size();
+    }
+
 private:
     [[nodiscard]] boost::asio::awaitable<void> look_after_reservations();
     [[nodiscard]] boost::asio::awaitable<void> send_progress(std::string holder);
--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -12,6 +12,8 @@
 #include <lagoonsaddle/edge/dispatch_service.hpp>
 #include <lagoonsaddle/edge/entry_node.hpp>
 #include <lagoonsaddle/edge/forwarder.hpp>
+#include <lagoonsaddle/edge/metered.hpp>
+#include <lagoonsaddle/edge/process_metrics.hpp>
 #include <lagoonsaddle/edge/reader_roster.hpp>
 #include <lagoonsaddle/edge/record_watcher.hpp>
 #include <lagoonsaddle/http/json.hpp>
@@ -122,6 +124,8 @@
     std::uint64_t boot_id;
 
     operate::metrics_registry metrics;
+    metered_log log;
+    metered_store store;
     route_table routes{};
     upstream_table upstreams{};
     upstream_selector selector;
@@ -129,6 +133,8 @@
     std::shared_ptr<cluster::membership_service> membership;
     cluster::peer_directory peers;
     cluster::quarantine_service quarantine;
+    crash_review review{crash_review_options{
+        .crashes_until_quarantine = crashes_until_quarantine, .suspect_duration = suspect_duration}};
     std::shared_ptr<placement_service> placement;
     std::shared_ptr<dispatch_service> dispatch;
     forwarder requests;
@@ -142,6 +148,7 @@
     std::vector<std::unique_ptr<record_watcher>> watchers{};
     /*! @brief What was read since the last message to the peers. */
     wire::store_news news{};
+    core::time_point started{};
     bool upstreams_known{false};
     bool fetching_configuration{false};
     bool stopping{false};
@@ -152,6 +159,8 @@
       settings{std::move(values)},
       boot_id{boot},
       metrics{this->context.time},
+      log{this->context.log, this->metrics},
+      store{this->context.store, this->metrics, this->context.time},
       selector{upstream_selector_options{.availability_zone = this->settings.availability_zone}},
       budget{retry_budget_options{.ratio = this->settings.retry_ratio,
           .slack = this->settings.retry_slack,
@@ -165,8 +174,8 @@
           *this->membership, this->peers},
       placement{std::make_shared<placement_service>(placement_context{.io = this->context.io,
                                                         .time = this->context.time,
-                                                        .log = this->context.log,
-                                                        .store = this->context.store,
+                                                        .log = this->log,
+                                                        .store = this->store,
                                                         .control = this->context.control,
                                                         .routes = this->routes,
                                                         .upstreams = this->upstreams,
@@ -183,7 +192,7 @@
                                                       .peers = this->peers},
           this->settings.name)},
       requests{forwarder_context{.time = this->context.time,
-          .log = this->context.log,
+          .log = this->log,
           .format = this->context.format,
           .client = this->context.client,
           .routes = this->routes,
@@ -193,6 +202,7 @@
           .placement = *this->placement,
           .dispatch = *this->dispatch,
           .quarantine = this->quarantine,
+          .review = this->review,
           .membership = *this->membership,
           .metrics = this->metrics}},
       readiness{*this},
@@ -205,17 +215,22 @@
       peer_server{this->context.io, *this,
           {.address = this->settings.callers.address, .port = this->settings.peer_port},
           wire::hello{.node = this->settings.name, .availability_zone = this->settings.availability_zone}},
-      outage{this->context.io} {}
+      outage{this->context.io},
+      started{this->context.time.now()} {}
 
 core::result<void> entry_node::parts::start() {
     const core::endpoint peer_address{.address = this->settings.callers.address, .port = this->settings.peer_port};
-    for(auto* server : {&this->caller_server, &this->readiness_server, &this->metrics_server}) {
-        if(auto started = server->start(); !started) {
-            return started;
+    for(auto* server : {&this->caller_server, &this->readiness_server}) {
+        if(auto listening = server->start(); !listening) {
+            return listening;
         }
     }
-    if(auto started = this->peer_server.start(); !started) {
-        return started;
+    if(const auto listening = this->metrics_server.start(); !listening) {
+        // Callers are served without metrics.
+        this->log.write(log_line{"metrics_unavailable"}.add("message", listening.error().message));
+    }
+    if(auto listening = this->peer_server.start(); !listening) {
+        return listening;
     }
     const auto bound = this->membership->bind(peer_address);
     if(!bound) {
@@ -227,13 +242,12 @@
             this->fetch_configuration();
         }
         if(value.kind == leaving_item_kind && this->upstreams.mark_leaving(value.key, value.version)) {
-            this->context.log.write(log_line{"upstream_leaving"}.add("upstream", value.key).add("source", "peer"));
+            this->log.write(log_line{"upstream_leaving"}.add("upstream", value.key).add("source", "peer"));
         }
     });
     this->membership->on_change([this](const fleet::member_change& change) {
         const auto& other = change.member;
-        this->context.log.write(
-            log_line{"member"}.add("node", other.info.name).add("state", fleet::to_string(other.state)));
+        this->log.write(log_line{"member"}.add("node", other.info.name).add("state", fleet::to_string(other.state)));
         if(!other.is_live() || change.restarted) {
             this->peers.drop(other.info.name);
             this->dispatch->node_gone(other.info.name);
@@ -263,10 +277,10 @@
 
 void entry_node::parts::spawn_watcher(record_kind kind, milliseconds wait, milliseconds spacing) {
     auto& watcher = *this->watchers.emplace_back(
-        std::make_unique<record_watcher>(this->context.store, *this, this->outage, this->context.time,
-            this->context.log, record_watcher_options{.kind = kind, .wait = wait, .spacing = spacing, .age = [this] {
-                                                          return this->watch_age();
-                                                      }}));
+        std::make_unique<record_watcher>(this->store, *this, this->outage, this->context.time, this->log,
+            record_watcher_options{.kind = kind, .wait = wait, .spacing = spacing, .age = [this] {
+                                       return this->watch_age();
+                                   }}));
     asio::co_spawn(
         this->context.io, [&watcher] { return watcher.run(); }, asio::detached);
 }
@@ -282,8 +296,7 @@
         boost::system::error_code ignored{};
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         for(const auto& id : this->upstreams.expire(this->context.time.now())) {
-            this->context.log.write(
-                log_line{"upstream_gone"}.add("upstream", id).add("reason", "missing_after_outage"));
+            this->log.write(log_line{"upstream_gone"}.add("upstream", id).add("reason", "missing_after_outage"));
         }
         this->context.log.flush();
     }
@@ -306,7 +319,7 @@
 void entry_node::parts::receive_news(const wire::store_news& value) {
     for(const auto& entry : value.leaving) {
         if(this->upstreams.mark_leaving(entry.upstream, entry.started_ms)) {
-            this->context.log.write(log_line{"upstream_leaving"}.add("upstream", entry.upstream).add("source", "peer"));
+            this->log.write(log_line{"upstream_leaving"}.add("upstream", entry.upstream).add("source", "peer"));
         }
     }
     for(const auto& entry : value.versions) {
@@ -320,7 +333,7 @@
 
 void entry_node::parts::announce_leaving(const std::string& id) {
     const auto* known = this->upstreams.find(id);
-    this->context.log.write(
+    this->log.write(
         log_line{known != nullptr ? "upstream_leaving" : "upstream_gone"}.add("upstream", id).add("source", "store"));
     if(known != nullptr) {
         this->news.leaving.push_back({.upstream = id, .started_ms = known->entry.started_ms});
@@ -336,11 +349,11 @@
     const auto* entry = std::get_if<upstream_entry>(&change.value);
     const bool known = this->upstreams.find(change.name) != nullptr;
     if(entry != nullptr && !known) {
-        this->context.log.write(log_line{"upstream_added"}
-                                    .add("upstream", entry->id)
-                                    .add("service", entry->service)
-                                    .add("zone", entry->availability_zone)
-                                    .add("address", core::to_string(entry->address)));
+        this->log.write(log_line{"upstream_added"}
+                            .add("upstream", entry->id)
+                            .add("service", entry->service)
+                            .add("zone", entry->availability_zone)
+                            .add("address", core::to_string(entry->address)));
     }
     const bool leaves =
         entry != nullptr ? this->upstreams.update(*entry, now) : this->upstreams.remove(change.name, now);
@@ -352,10 +365,10 @@
 void entry_node::parts::take_configuration(const record_change& change) {
     const auto* config = std::get_if<configuration>(&change.value);
     if(config != nullptr && this->routes.apply(*config)) {
-        this->context.log.write(log_line{"configuration"}
-                                    .add("version", static_cast<std::int64_t>(config->version))
-                                    .add("revision", static_cast<std::int64_t>(change.revision))
-                                    .add("routes", static_cast<std::int64_t>(config->routes.size())));
+        this->log.write(log_line{"configuration"}
+                            .add("version", static_cast<std::int64_t>(config->version))
+                            .add("revision", static_cast<std::int64_t>(change.revision))
+                            .add("routes", static_cast<std::int64_t>(config->routes.size())));
         this->news.configuration_version = config->version;
         this->membership->publish(
             fleet::item{.kind = std::string{configuration_item_kind}, .key = "newest", .version = config->version});
@@ -369,7 +382,7 @@
     asio::co_spawn(
         this->context.io,
         [this]() -> asio::awaitable<void> {
-            const auto page = co_await this->context.store.list(record_kind::configuration);
+            const auto page = co_await this->store.list(record_kind::configuration);
             this->fetching_configuration = false;
             if(page) {
                 this->changed(record_kind::configuration, *page);
@@ -463,8 +476,7 @@
 asio::awaitable<void> entry_node::parts::stop() {
     const auto begin = this->context.time.now();
     this->stopping = true;
-    this->context.log.write(
-        log_line{"stop"}.add("active", static_cast<std::int64_t>(this->caller_server.active_requests())));
+    this->log.write(log_line{"stop"}.add("active", static_cast<std::int64_t>(this->caller_server.active_requests())));
     this->membership->leave();
     this->caller_server.begin_drain();
     asio::co_spawn(
@@ -484,12 +496,13 @@
     }
     this->caller_server.stop_accepting();
     this->membership->depart();
-    this->context.log.write(
+    this->log.write(
         log_line{"stopped"}.add("active", static_cast<std::int64_t>(this->caller_server.active_requests())));
     this->context.log.flush();
 }
 
 std::string entry_node::parts::metrics_text() {
+    const auto now = this->context.time.now();
     const auto gauge = [this](std::string_view name, std::string_view help, double value) {
         this->metrics.gauge(name, help).set(value);
     };
@@ -500,9 +513,24 @@
         static_cast<double>(this->caller_server.active_requests()));
     gauge("lagoonsaddle_edge_upstream_connections_made", "Connections made to upstreams since the start.",
         static_cast<double>(this->context.client.connections_made()));
+    const auto usage = read_process_usage();
+    gauge("lagoonsaddle_edge_processor_seconds", "Processor time since the start.", usage.processor_seconds);
+    gauge("lagoonsaddle_edge_resident_bytes", "Resident memory.", usage.resident_bytes);
+    gauge("lagoonsaddle_edge_reservations", "Requests that this node has placed for all nodes.",
+        static_cast<double>(this->dispatch->reservations()));
+    gauge("lagoonsaddle_edge_leases_held", "Availability zones whose loads this node orders.",
+        static_cast<double>(this->placement->leases_held()));
+    for(const auto& watcher : this->watchers) {
+        const auto answered = watcher->last_answer();
+        const std::chrono::duration<double> age{now - answered.value_or(this->started)};
+        this->metrics
+            .gauge("lagoonsaddle_edge_store_age_seconds", "Time since the store last answered, by kind of record.",
+                {{"kind", std::string{to_string(watcher->kind())}}})
+            .set(age.count());
+    }
     gauge("lagoonsaddle_edge_log_lines_dropped", "Log lines dropped since the start.",
         static_cast<double>(this->context.log.dropped()));
-    return this->metrics.text();
+    return this->metrics.text() + upstream_metrics(this->upstreams, now);
 }
 
 std::string entry_node::parts::dump() const {
--- a/src/lagoonsaddle/edge/entry_settings.cpp
+++ b/src/lagoonsaddle/edge/entry_settings.cpp
@@ -78,6 +78,9 @@
     constexpr double port_max{std::numeric_limits<std::uint16_t>::max()};
     values.peer_port = static_cast<std::uint16_t>(number_of(object, "peer_port", 1.0, port_max - 1.0));
     values.metrics_port = static_cast<std::uint16_t>(values.peer_port + 1u);
+    if(object.contains("metrics_port")) {
+        values.metrics_port = static_cast<std::uint16_t>(number_of(object, "metrics_port", 1.0, port_max));
+    }
     const auto& seeds = value_of(object, "seeds");
     if(!seeds.is_array()) {
         throw settings_error{"seeds", "must be a list of addresses"};
--- a/src/lagoonsaddle/edge/entry_settings.hpp
+++ b/src/lagoonsaddle/edge/entry_settings.hpp
@@ -21,8 +21,9 @@
     core::endpoint callers{};
     /*! @brief Address of the readiness question. */
     core::endpoint readiness{};
-    /*! @brief Ports for the protocols between nodes: the first for datagrams and peers, the second for metrics. */
+    /*! @brief Port for datagrams and connections between nodes. */
     std::uint16_t peer_port{};
+    /*! @brief Port of the metrics; the one after `peer_port` unless it is set. */
     std::uint16_t metrics_port{};
     /*! @brief IP addresses of nodes to join through. */
     std::vector<std::string> seeds{};
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -9,8 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <lagoonsaddle/core/hash.hpp>
-#include <lagoonsaddle/edge/event_splitter.hpp>
-#include <lagoonsaddle/edge/forwarder.hpp>
+#include <lagoonsaddle/edge/internal_exchange.hpp>
 
 namespace lagoonsaddle::edge {
 
@@ -18,6 +17,9 @@
 
 namespace {
 
+using internal::retry_overload;
+using internal::send_margin;
+using internal::to_ms;
 using std::chrono::milliseconds;
 
 /*! @brief Sends of one request that may be made after proof that it has not run. */
@@ -26,8 +28,6 @@
 constexpr unsigned choices_max{6u};
 /*! @brief Choices that are given up at once when all places of the upstream are in use. */
 constexpr unsigned choices_without_wait{2u};
-/*! @brief Requests with less time left are not sent: the answer could not arrive. */
-constexpr milliseconds send_margin{15};
 /*! @brief Time beyond the deadline in which the upstream's own answer at the deadline may arrive. */
 constexpr milliseconds deadline_margin{60};
 /*! @brief Time that a request waits for the load of its adapter at most; the rest of the deadline is for the run. */
@@ -41,15 +41,10 @@
 constexpr milliseconds reuse_idempotent{10'000};
 /*! @brief Share of the remaining time after which an idempotent request without an answer is sent elsewhere. */
 constexpr double patience_share{0.45};
-/*! @brief Largest body of a response that is not a stream. */
-constexpr std::size_t whole_body_limit{8u * 1024u * 1024u};
 /*! @brief Priority 0 of a route in the upstreams' scale, where 5 is usual. */
 constexpr unsigned urgency_base{3u};
 constexpr unsigned urgency_max{9u};
 
-constexpr milliseconds retry_soon{200};
-constexpr milliseconds retry_overload{400};
-
 /*! @brief Ends the reservation of a request when its attempt is over. */
 class reservation_guard {
 public:
@@ -67,63 +62,8 @@
     const dispatched& placed;
 };
 
-[[nodiscard]] milliseconds to_ms(core::duration value) {
-    return std::chrono::duration_cast<milliseconds>(value);
-}
-
 } // namespace
 
-/*! @brief What to do after an attempt. */
-enum class forwarder::step {
-    /*! @brief The caller has its final answer, or is gone. */
-    finished,
-    /*! @brief Try another upstream. */
-    again,
-    /*! @brief Answer with the last failure. */
-    stop
-};
-
-struct forwarder::exchange_state {
-    exchange_state(http::request caller_request, http::response_writer& out, core::time_point arrival)
-        : message{std::move(caller_request)}, writer{out}, begin{arrival} {}
-
-    http::request message;
-    http::response_writer& writer;
-    core::time_point begin;
-    request_terms terms{};
-    route_table::configuration_type config{};
-    const route* target{};
-    std::string service{};
-    core::time_point deadline{};
-    std::string digest{};
-
-    std::shared_ptr<http::exchange_control> control{};
-    bool caller_gone{false};
-
-    std::set<std::string> excluded{};
-    unsigned choices{};
-    unsigned sends{};
-    unsigned runs{};
-    /*! @brief Whether the request may have run on some upstream. */
-    core::verdict verdict{core::verdict::not_run};
-    core::error last{.cause = core::reason::unavailable, .message = "no upstream takes the request"};
-
-    bool head_sent{false};
-    event_splitter events{};
-    std::optional<core::time_point> first_event{};
-    core::time_point last_event{};
-    /*! @brief Longest time between two pieces of the stream. */
-    core::duration gap_max{};
-
-    unsigned status{};
-    std::string outcome{"unanswered"};
-    std::string path{};
-
-    [[nodiscard]] bool repeatable() const noexcept {
-        return this->target->repeat != repeatability::once;
-    }
-};
-
 forwarder::forwarder(forwarder_context uses) : context{uses} {}
 
 forwarder::~forwarder() = default;
@@ -132,6 +72,14 @@
     this->stopping = stop_times{.refuse_from = refuse_from, .exit = exit};
 }
 
+bool forwarder::is_quarantined(const exchange_state& state) const {
+    if(this->context.quarantine.classify(state.digest) != policy::standing::quarantined) {
+        return false;
+    }
+    const auto record = this->context.quarantine.record_of(state.digest);
+    return record && this->context.review.holds(*record, this->context.upstreams, core::unix_time());
+}
+
 std::size_t forwarder::live_nodes() const {
     const auto members = this->context.membership.members();
     const auto count = std::ranges::count_if(*members, &fleet::member::is_live);
@@ -157,7 +105,7 @@
     });
     co_await this->serve(state);
     *disconnected = nullptr;
-    this->log(state);
+    this->log_end(state);
 }
 
 asio::awaitable<void> forwarder::serve(exchange_state& state) {
@@ -196,7 +144,7 @@
     state.digest = core::digest(
         state.message.method + '|' + std::string{state.message.headers.find("host").value_or("")} + '|' +
         state.message.target + '|' + state.terms.model + '/' + state.terms.adapter + '|' + state.message.body);
-    if(this->context.quarantine.classify(state.digest) == policy::standing::quarantined) {
+    if(this->is_quarantined(state)) {
         core::error failure{
             .cause = core::reason::quarantined, .message = "the request crashed the upstreams that ran it"};
         co_await this->refuse(state, 503u, std::move(failure));
@@ -282,16 +230,8 @@
         .may_wait = state.choices > choices_without_wait};
     const auto begin = this->context.time.now();
     auto placed = co_await this->context.dispatch.place(std::move(wanted), choice);
-    const auto took = to_ms(this->context.time.now() - begin).count();
-    log_line line{"placed"};
-    line.add("id", state.terms.id)
-        .add("upstream", placed ? placed->upstream : placed.error().upstream)
-        .add("holder", placed ? placed->holder : std::string{})
-        .add("resident", choice.resident ? 1 : 0)
-        .add("cost_ms", static_cast<std::int64_t>(choice.cost_ms))
-        .add("outcome", placed ? std::string_view{"ready"} : core::to_string(placed.error().failure.cause))
-        .add("ms", took);
-    this->context.log.write(line);
+    const auto took = this->context.time.now() - begin;
+    this->log_placed(state, choice, placed, took);
     if(!placed) {
         state.path += ";load@" + placed.error().upstream + ':';
         state.path += core::to_string(placed.error().failure.cause);
@@ -321,6 +261,7 @@
     auto outgoing = this->context.format.make_upstream_request(state.message, added);
 
     ++state.sends;
+    this->log_sent(state, upstream, left);
     state.control = std::make_shared<http::exchange_control>();
     http::exchange_options options{};
     options.timeout = left + deadline_margin;
@@ -371,6 +312,7 @@
     const auto now = this->context.time.now();
     auto* known = this->context.upstreams.find(upstream);
     state.path += ';' + upstream + ':' + std::string{core::to_string(failure.cause)};
+    this->log_attempt(state, upstream, core::to_string(failure.cause), failure.verdict, failure.message);
     if(state.caller_gone) {
         state.outcome = "caller_gone";
         state.last = core::error{.cause = core::reason::cancelled, .message = "the caller closed its connection"};
@@ -401,8 +343,7 @@
         }
     }
     state.excluded.insert(upstream);
-    const bool quarantined = this->context.quarantine.classify(state.digest) == policy::standing::quarantined;
-    const bool again = state.repeatable() && state.runs < state.target->attempts_max && !quarantined;
+    const bool again = state.repeatable() && state.runs < state.target->attempts_max && !this->is_quarantined(state);
     return again && now + send_margin < state.deadline ? step::again : step::stop;
 }
 
@@ -411,6 +352,7 @@
     const auto now = this->context.time.now();
     auto* known = this->context.upstreams.find(upstream);
     state.path += ';' + upstream + ":not_run_" + std::to_string(status);
+    this->log_attempt(state, upstream, "refused", core::verdict::not_run, "status " + std::to_string(status));
     state.last = core::error{.cause = core::reason::overloaded,
         .verdict = state.verdict,
         .message = "the upstream refused the request with status " + std::to_string(status),
@@ -427,204 +369,4 @@
     return state.sends < sends_max ? step::again : step::stop;
 }
 
-asio::awaitable<forwarder::step> forwarder::receive(
-    exchange_state& state, const std::string& upstream, http::response_stream& answer) {
-    const auto terms = this->context.format.read_answer(answer.status(), answer.headers());
-    if(terms.not_run) {
-        // Reading the rest keeps the connection for the next request.
-        static_cast<void>(co_await answer.read());
-        co_return this->not_run(state, upstream, terms, answer.status());
-    }
-    const bool success = answer.status() / 100u == 2u;
-    const bool promises_not_run = answer.status() == 408u || answer.status() == 429u || answer.status() == 503u;
-    if(!terms.signed_by_upstream || terms.encoded || promises_not_run) {
-        answer.close();
-        co_return this->failed(state, upstream,
-            core::error{.cause = core::reason::protocol_error,
-                .verdict = core::verdict::may_have_run,
-                .message = "status " + std::to_string(answer.status()) + " without the upstream's own body"});
-    }
-    if(state.target->streaming && success) {
-        co_return co_await this->pass_stream(state, upstream, answer);
-    }
-    std::string body{};
-    while(true) {
-        auto piece = co_await answer.read();
-        if(!piece) {
-            co_return this->failed(state, upstream, piece.error());
-        }
-        if(piece->empty()) {
-            break;
-        }
-        body += *piece;
-        if(body.size() > whole_body_limit) {
-            answer.close();
-            co_return this->failed(state, upstream,
-                core::error{.cause = core::reason::protocol_error,
-                    .verdict = core::verdict::may_have_run,
-                    .message = "the body of the answer is too large"});
-        }
-    }
-    const auto now = this->context.time.now();
-    if(auto* known = this->context.upstreams.find(upstream)) {
-        known->health.record(answer.status() >= 500u, now);
-    }
-    state.path += ';' + upstream + ':' + std::to_string(answer.status());
-    ++state.runs;
-    state.verdict = core::verdict::ran;
-    const bool again = answer.status() >= 500u && state.target->repeat == repeatability::idempotent &&
-                       state.runs < state.target->attempts_max && now + send_margin < state.deadline;
-    if(again && this->context.budget.take(state.service, this->live_nodes(), now)) {
-        state.excluded.insert(upstream);
-        // This retry is paid for; the next send is not charged again.
-        state.sends = 0u;
-        state.last = core::error{.cause = core::reason::unavailable,
-            .verdict = core::verdict::ran,
-            .message = "the upstream answered with status " + std::to_string(answer.status())};
-        co_return step::again;
-    }
-    if(state.head_sent) {
-        // The stream of an earlier attempt cannot end with a failure of this one.
-        state.writer.abort();
-        state.outcome = "broken";
-        co_return step::finished;
-    }
-    if(success) {
-        this->context.quarantine.ran_alone(state.digest);
-    }
-    state.status = answer.status();
-    state.outcome = success ? "served" : "upstream_failure";
-    if(!success) {
-        state.last = core::error{.cause = core::reason::unavailable,
-            .message = "the upstream answered with status " + std::to_string(answer.status())};
-    }
-    http::response whole{.status = answer.status(),
-        .headers = this->context.format.caller_fields(answer.headers()),
-        .body = std::move(body)};
-    if(const auto sent = co_await state.writer.send(std::move(whole)); !sent) {
-        state.outcome = "caller_gone";
-    }
-    co_return step::finished;
-}
-
-asio::awaitable<forwarder::step> forwarder::pass_stream(
-    exchange_state& state, const std::string& upstream, http::response_stream& answer) {
-    state.events.discard_rest();
-    while(true) {
-        auto piece = co_await answer.read();
-        if(!piece) {
-            const bool resumable = state.target->repeat == repeatability::resumable;
-            const auto next = this->failed(state, upstream, piece.error());
-            if(next == step::again && (resumable || !state.head_sent)) {
-                co_return step::again;
-            }
-            if(state.head_sent && !state.caller_gone) {
-                state.writer.abort();
-                state.outcome = "broken";
-                co_return step::finished;
-            }
-            co_return next;
-        }
-        const bool ended = piece->empty();
-        const auto events = ended ? state.events.take_rest() : state.events.feed(*piece);
-        if(events.empty() && !ended) {
-            continue;
-        }
-        if(!state.head_sent) {
-            state.head_sent = true;
-            state.status = answer.status();
-            state.first_event = this->context.time.now();
-            if(const auto sent =
-                    co_await state.writer.begin(answer.status(), this->context.format.caller_fields(answer.headers()));
-                !sent) {
-                answer.close();
-                state.outcome = "caller_gone";
-                co_return step::finished;
-            }
-        }
-        if(!events.empty()) {
-            const auto arrived = this->context.time.now();
-            if(state.last_event != core::time_point{}) {
-                state.gap_max = std::max(state.gap_max, arrived - state.last_event);
-            }
-            state.last_event = arrived;
-            if(const auto sent = co_await state.writer.write(events); !sent) {
-                answer.close();
-                state.outcome = "caller_gone";
-                co_return step::finished;
-            }
-        }
-        if(ended) {
-            break;
-        }
-    }
-    if(auto* known = this->context.upstreams.find(upstream)) {
-        known->health.record(false, this->context.time.now());
-    }
-    state.path += ';' + upstream + ':' + std::to_string(answer.status());
-    state.verdict = core::verdict::ran;
-    this->context.quarantine.ran_alone(state.digest);
-    const auto finished = co_await state.writer.finish();
-    state.outcome = finished ? "served" : "caller_gone";
-    co_return step::finished;
-}
-
-asio::awaitable<void> forwarder::give_up(exchange_state& state) {
-    if(state.head_sent) {
-        state.writer.abort();
-        state.outcome = "broken";
-        co_return;
-    }
-    auto failure = state.last;
-    failure.verdict = state.verdict;
-    if(state.verdict == core::verdict::not_run) {
-        failure.retry_after = failure.cause == core::reason::overloaded ? retry_overload : retry_soon;
-        co_await this->refuse(state, 503u, std::move(failure));
-        co_return;
-    }
-    failure.retry_after.reset();
-    const bool late = failure.cause == core::reason::timeout || failure.cause == core::reason::deadline_exceeded;
-    co_await this->refuse(state, late ? 504u : 502u, std::move(failure));
-}
-
-asio::awaitable<void> forwarder::refuse(exchange_state& state, unsigned status, core::error failure) {
-    state.status = status;
-    state.outcome = "refused";
-    state.last = failure;
-    auto answer = this->context.format.make_refusal(status, failure, state.terms.id);
-    static_cast<void>(co_await state.writer.send(std::move(answer)));
-}
-
-void forwarder::log(const exchange_state& state) {
-    const auto now = this->context.time.now();
-    const auto kind = state.target != nullptr ? state.target->name : std::string{};
-    log_line line{"request"};
-    line.add("id", state.terms.id)
-        .add("route", kind)
-        .add("config", static_cast<std::int64_t>(state.config ? state.config->version : 0u))
-        .add("service", state.service)
-        .add("adapter", state.terms.adapter)
-        .add("path", state.path)
-        .add("status", static_cast<std::int64_t>(state.status))
-        .add("outcome", state.outcome)
-        .add("verdict", core::to_string(state.verdict))
-        .add("ms", to_ms(now - state.begin).count());
-    if(state.first_event) {
-        line.add("first_ms", to_ms(*state.first_event - state.begin).count())
-            .add("gap_ms", to_ms(state.gap_max).count());
-    }
-    if(state.outcome != "served") {
-        line.add("reason", core::to_string(state.last.cause)).add("message", state.last.message);
-    }
-    this->context.log.write(line);
-    this->context.metrics
-        .counter("lagoonsaddle_edge_requests_total", "Requests of callers by outcome.",
-            {{"service", state.service}, {"outcome", state.outcome}})
-        .add();
-    this->context.metrics
-        .summary("lagoonsaddle_edge_request_seconds", "Time from the request to the end of its answer.",
-            {{"service", state.service}, {"outcome", state.outcome}})
-        .record(std::chrono::duration<double>{now - state.begin}.count());
-}
-
 } // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -13,6 +13,7 @@
 #include <lagoonsaddle/cluster/membership_service.hpp>
 #include <lagoonsaddle/cluster/quarantine_service.hpp>
 #include <lagoonsaddle/core/clock.hpp>
+#include <lagoonsaddle/edge/crash_review.hpp>
 #include <lagoonsaddle/edge/decision_log.hpp>
 #include <lagoonsaddle/edge/dispatch_service.hpp>
 #include <lagoonsaddle/edge/placement_service.hpp>
@@ -40,6 +41,7 @@
     placement_service& placement;
     dispatch_service& dispatch;
     cluster::quarantine_service& quarantine;
+    const crash_review& review;
     cluster::membership_service& membership;
     operate::metrics_registry& metrics;
 };
@@ -86,8 +88,15 @@
     [[nodiscard]] boost::asio::awaitable<void> refuse(exchange_state& state, unsigned status, core::error failure);
     [[nodiscard]] boost::asio::awaitable<void> give_up(exchange_state& state);
     [[nodiscard]] std::uint64_t oldest_version(const exchange_state& state) const;
+    [[nodiscard]] bool is_quarantined(const exchange_state& state) const;
     [[nodiscard]] std::size_t live_nodes() const;
-    void log(const exchange_state& state);
+    void log_placed(const exchange_state& state, const selection& choice,
+        const tl::expected<dispatched, dispatch_failure>& placed, core::duration took);
+    void log_sent(const exchange_state& state, const std::string& upstream, core::duration left);
+    void log_attempt(const exchange_state& state, const std::string& upstream, std::string_view result,
+        core::verdict verdict, std::string_view message);
+    /*! @brief Writes the last line of a request and counts it. */
+    void log_end(const exchange_state& state);
 
     forwarder_context context;
 
--- /dev/null
+++ b/src/lagoonsaddle/edge/forwarder_log.cpp
@@ -0,0 +1,95 @@
+// Log lines and metrics of requests.
+#include <chrono>
+
+#include <lagoonsaddle/edge/internal_exchange.hpp>
+
+namespace lagoonsaddle::edge {
+
+using internal::to_ms;
+
+namespace {
+
+constexpr double percent{100.0};
+
+} // namespace
+
+void forwarder::log_placed(const exchange_state& state, const selection& choice,
+    const tl::expected<dispatched, dispatch_failure>& placed, core::duration took) {
+    log_line line{placed ? "placed" : "load"};
+    line.add("id", state.terms.id)
+        .add("upstream", placed ? placed->upstream : placed.error().upstream)
+        .add("holder", placed ? placed->holder : std::string{})
+        .add("resident", choice.resident ? 1 : 0)
+        .add("cost_ms", static_cast<std::int64_t>(choice.cost_ms))
+        .add("version_min", static_cast<std::int64_t>(this->oldest_version(state)))
+        .add("outcome", placed ? std::string_view{"ready"} : core::to_string(placed.error().failure.cause))
+        .add("ms", to_ms(took).count());
+    if(!placed) {
+        line.add("message", placed.error().failure.message);
+    }
+    this->context.log.write(line);
+}
+
+void forwarder::log_sent(const exchange_state& state, const std::string& upstream, core::duration left) {
+    const auto* known = this->context.upstreams.find(upstream);
+    log_line line{"sent"};
+    line.add("id", state.terms.id)
+        .add("upstream", upstream)
+        .add("attempt", static_cast<std::int64_t>(state.sends))
+        .add("config", static_cast<std::int64_t>(state.config ? state.config->version : 0u))
+        .add("left_ms", to_ms(left).count());
+    if(known != nullptr) {
+        const auto share = known->health.failure_share(this->context.time.now());
+        line.add("in_flight", static_cast<std::int64_t>(known->in_flight))
+            .add("failure_percent", static_cast<std::int64_t>(share * percent));
+    }
+    if(state.events.last_id()) {
+        line.add("resume_after", static_cast<std::int64_t>(*state.events.last_id()));
+    }
+    this->context.log.write(line);
+}
+
+void forwarder::log_attempt(const exchange_state& state, const std::string& upstream, std::string_view result,
+    core::verdict verdict, std::string_view message) {
+    this->context.log.write(log_line{"attempt"}
+                                .add("id", state.terms.id)
+                                .add("upstream", upstream)
+                                .add("attempt", static_cast<std::int64_t>(state.sends))
+                                .add("result", result)
+                                .add("verdict", core::to_string(verdict))
+                                .add("message", message));
+}
+
+void forwarder::log_end(const exchange_state& state) {
+    const auto now = this->context.time.now();
+    const auto kind = state.target != nullptr ? state.target->name : std::string{};
+    log_line line{"request"};
+    line.add("id", state.terms.id)
+        .add("route", kind)
+        .add("config", static_cast<std::int64_t>(state.config ? state.config->version : 0u))
+        .add("service", state.service)
+        .add("adapter", state.terms.adapter)
+        .add("path", state.path)
+        .add("status", static_cast<std::int64_t>(state.status))
+        .add("outcome", state.outcome)
+        .add("verdict", core::to_string(state.verdict))
+        .add("ms", to_ms(now - state.begin).count());
+    if(state.first_event) {
+        line.add("first_ms", to_ms(*state.first_event - state.begin).count())
+            .add("gap_ms", to_ms(state.gap_max).count());
+    }
+    if(state.outcome != "served") {
+        line.add("reason", core::to_string(state.last.cause)).add("message", state.last.message);
+    }
+    this->context.log.write(line);
+    this->context.metrics
+        .counter("lagoonsaddle_edge_requests_total", "Requests of callers by outcome.",
+            {{"service", state.service}, {"outcome", state.outcome}})
+        .add();
+    this->context.metrics
+        .summary("lagoonsaddle_edge_request_seconds", "Time from the request to the end of its answer.",
+            {{"service", state.service}, {"outcome", state.outcome}})
+        .record(std::chrono::duration<double>{now - state.begin}.count());
+}
+
+} // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -292,6 +292,11 @@
     return found != this->leases.end() && !this->releasing && found->second.may_order(this->context.time.now());
 }
 
+std::size_t placement_service::leases_held() const {
+    const auto held = std::ranges::count_if(this->leases, [](const auto& entry) { return entry.second.is_holder(); });
+    return static_cast<std::size_t>(held);
+}
+
 bool placement_service::can_place(const std::string& upstream, std::string_view model, std::string_view adapter) const {
     const auto found = this->drivers.find(upstream);
     return found == this->drivers.end() || found->second->ledger.can_place(model, adapter, this->context.time.now());
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -88,6 +88,9 @@
     /*! @brief Tells whether this node may order loads in an availability zone now. */
     [[nodiscard]] bool may_order(std::string_view zone) const;
 
+    /*! @brief Returns the number of availability zones whose lease this node holds. */
+    [[nodiscard]] std::size_t leases_held() const;
+
     /*! @brief Tells whether an upstream whose loads this node orders holds an adapter or has a place for it. */
     [[nodiscard]] bool can_place(const std::string& upstream, std::string_view model, std::string_view adapter) const;
 
--- a/src/lagoonsaddle/edge/record_watcher.hpp
+++ b/src/lagoonsaddle/edge/record_watcher.hpp
@@ -63,6 +63,10 @@
     /*! @brief Runs until the process ends. */
     [[nodiscard]] boost::asio::awaitable<void> run();
 
+    [[nodiscard]] record_kind kind() const noexcept {
+        return this->settings.kind;
+    }
+
     /*! @brief Returns the time of the last answer of the store, or nothing before the first one. */
     [[nodiscard]] std::optional<core::time_point> last_answer() const noexcept {
         return this->answered;
--- a/src/lagoonsaddle/edge/slot_ledger.hpp
+++ b/src/lagoonsaddle/edge/slot_ledger.hpp
@@ -20,7 +20,7 @@
     /*! @brief Adapters that may be on their way to one upstream at a time. */
     std::size_t loads_max{4u};
     /*! @brief Time without a request after which an adapter may be unloaded. */
-    core::duration idle_min{std::chrono::milliseconds{450}};
+    core::duration idle_min{std::chrono::milliseconds{200}};
     /*! @brief Time for which the last use of an adapter that is not resident is remembered. */
     core::duration use_memory{std::chrono::seconds{5}};
     /*! @brief Oldest state that a report may describe. */
--- a/src/lagoonsaddle/edge/upstream_selector.cpp
+++ b/src/lagoonsaddle/edge/upstream_selector.cpp
@@ -36,6 +36,9 @@
 constexpr std::chrono::duration<double> refusal_memory{1.0};
 /*! @brief Prompt tokens that an upstream reads per millisecond. */
 constexpr double prompt_tokens_per_ms{40.0};
+/*! @brief Weight of prompts that wait at an upstream against the cost of a load elsewhere: a load takes a place that
+ * other adapters need. */
+constexpr double pending_prompt_weight{0.6};
 /*! @brief Delay that each running request adds to the others of a model upstream. */
 constexpr double batch_cost_ms{2.0};
 /*! @brief Delay of a plain service per request in proportion to its places. */
@@ -58,7 +61,7 @@
     }
     if(wanted.exact_load != nullptr) {
         const auto load = wanted.exact_load->load_of(upstream.entry.id);
-        return static_cast<double>(load.pending_tokens) / prompt_tokens_per_ms +
+        return pending_prompt_weight * static_cast<double>(load.pending_tokens) / prompt_tokens_per_ms +
                batch_cost_ms * static_cast<double>(load.in_flight);
     }
     // The holder of the availability zone chooses again by the whole load.
@@ -161,12 +164,16 @@
     const auto kept_on =
         shares ? this->prefix_homes(std::span{ranking}.first(home_count), wanted, now) : std::set<std::string_view>{};
     std::optional<selection> best{};
+    double wait_sum{};
     for(std::size_t index{}; index < ranking.size(); ++index) {
         const auto& upstream = *ranking[index].second;
         const auto version = upstream.adapter_version(wanted.model, wanted.adapter, now);
         const bool resident = !placed || (version && *version >= wanted.version_min);
         const bool kept = kept_on.contains(upstream.entry.id);
+        const auto cached = kept ? std::min(wanted.shared_tokens, wanted.prompt_tokens) : 0u;
+        const auto cold = wanted.prompt_tokens - cached;
         const double wait = waiting_cost(upstream, wanted);
+        wait_sum += wait;
         double cost = wait + trouble_cost(upstream, now);
         cost += upstream.entry.availability_zone == this->settings.availability_zone ? 0.0 : zone_cost_ms;
         if(shares && !kept) {
@@ -182,14 +189,12 @@
             cost += wanted.has_place && !wanted.has_place(upstream.entry.id) ? no_place_cost_ms : 0.0;
         }
         if(!best || cost < best->cost_ms) {
-            const auto cached = kept ? std::min(wanted.shared_tokens, wanted.prompt_tokens) : 0u;
-            best = selection{.upstream = upstream.entry.id,
-                .resident = resident,
-                .cost_ms = cost,
-                .wait_ms = wait,
-                .cold_tokens = wanted.prompt_tokens - cached};
+            best = selection{.upstream = upstream.entry.id, .resident = resident, .cost_ms = cost, .cold_tokens = cold};
         }
     }
+    if(best) {
+        best->mean_wait_ms = wait_sum / static_cast<double>(ranking.size());
+    }
     return best;
 }
 
--- a/src/lagoonsaddle/edge/upstream_selector.hpp
+++ b/src/lagoonsaddle/edge/upstream_selector.hpp
@@ -54,8 +54,8 @@
     bool resident{true};
     /*! @brief Estimated time until the upstream can begin, in milliseconds. */
     double cost_ms{};
-    /*! @brief Part of the cost that is due to requests in progress there. */
-    double wait_ms{};
+    /*! @brief Mean delay by requests in progress over the upstreams that were looked at, in milliseconds. */
+    double mean_wait_ms{};
     /*! @brief Prompt tokens that the upstream probably has to read, as it does not keep them. */
     std::uint64_t cold_tokens{};
 };
@@ -64,7 +64,7 @@
 struct upstream_selector_options {
     std::string availability_zone{};
     /*! @brief Requests per second of one adapter for each upstream that should hold it. */
-    double requests_per_home{3.0};
+    double requests_per_home{0.5};
 };
 
 /**
