--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -61,6 +61,9 @@
 
     def _read_ready_line(self):
         line = self.popen.stdout.readline().decode().strip()
+        if line.startswith("control on"):
+            # A fault proxy names its control interface first.
+            line = f"{self.popen.stdout.readline().decode().strip()} {line}"
         if not line.startswith("listening"):
             self.stop(signal.SIGKILL)
             raise RuntimeError(f"{self.name} did not start: {line!r}; see its log")
