--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -242,7 +242,7 @@
     std::uint64_t version{};
     /*! @brief Prompt tokens that the upstream has to read. */
     std::uint64_t cold_tokens{};
-    /*! @brief Delay until the upstream can begin, as estimated. */
+    /*! @brief Mean delay at the upstreams of the availability zone, as estimated. */
     std::uint64_t delay_ms{};
     std::optional<wire_error> failure{};
 
