--- a/src/lagoonsaddle/edge/upstream_selector.hpp
+++ b/src/lagoonsaddle/edge/upstream_selector.hpp
@@ -64,7 +64,7 @@
 struct upstream_selector_options {
     std::string availability_zone{};
     /*! @brief Requests per second of one adapter for each upstream that should hold it. */
-    double requests_per_home{0.5};
+    double requests_per_home{1.5};
 };
 
 /**
