--- a/src/lagoonsaddle/gateway/ownership_service.cpp
+++ b/src/lagoonsaddle/gateway/ownership_service.cpp
@@ -103,7 +103,8 @@
     return found->second->protocol.snapshot();
 }
 
-void ownership_service::release_all() {
+void ownership_service::step_all_zones(
+    const std::function<std::vector<fleet::ownership_action>(fleet::ownership&)>& step) {
     std::map<std::string, zone_pointer, std::less<>> all{};
     {
         const std::lock_guard lock{this->mutex};
@@ -113,12 +114,16 @@
         std::vector<fleet::ownership_action> actions{};
         {
             const std::lock_guard lock{zone->mutex};
-            actions = zone->protocol.release_all(this->time.now());
+            actions = step(zone->protocol);
         }
         this->perform(zone, std::move(actions));
     }
 }
 
+void ownership_service::release_all() {
+    this->step_all_zones([this](fleet::ownership& protocol) { return protocol.release_all(this->time.now()); });
+}
+
 bool ownership_service::released() const {
     const std::lock_guard lock{this->mutex};
     return std::all_of(this->zones.begin(), this->zones.end(), [](const auto& entry) {
@@ -240,19 +245,7 @@
         if(this->membership.joined()) {
             this->update_zones();
         }
-        std::map<std::string, zone_pointer, std::less<>> all{};
-        {
-            const std::lock_guard lock{this->mutex};
-            all = this->zones;
-        }
-        for(const auto& [name, zone] : all) {
-            std::vector<fleet::ownership_action> actions{};
-            {
-                const std::lock_guard lock{zone->mutex};
-                actions = zone->protocol.tick(this->time.now());
-            }
-            this->perform(zone, std::move(actions));
-        }
+        this->step_all_zones([this](fleet::ownership& protocol) { return protocol.tick(this->time.now()); });
         timer.expires_after(tick_interval);
         boost::system::error_code ignored{};
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/lagoonsaddle/gateway/ownership_service.hpp
+++ b/src/lagoonsaddle/gateway/ownership_service.hpp
@@ -106,6 +106,8 @@
     void update_zones();
     boost::asio::awaitable<void> run_timers();
     boost::asio::awaitable<void> learn_from_peers(zone_pointer zone, std::string name);
+    /*! @brief Takes a step of the protocol in each availability zone, and performs what it asks for. */
+    void step_all_zones(const std::function<std::vector<fleet::ownership_action>(fleet::ownership&)>& step);
     void perform(const zone_pointer& zone, std::vector<fleet::ownership_action> actions);
     boost::asio::awaitable<void> read(zone_pointer zone, fleet::read_object action);
     boost::asio::awaitable<void> write(zone_pointer zone, fleet::write_object action);
--- a/src/lagoonsaddle/operate/log_timeline.cpp
+++ b/src/lagoonsaddle/operate/log_timeline.cpp
@@ -20,6 +20,9 @@
 /*! @brief Time after the end within which others learn what ended the request. */
 constexpr std::int64_t context_after_ms{1'500};
 
+/*! @brief Time after its start in which a node may not know all upstreams yet. */
+constexpr std::int64_t settling_ms{3'000};
+
 constexpr std::array<std::string_view, 6u> node_events{
     "start", "reload", "stop", "stopped", "store_lost", "store_regained"};
 constexpr std::array<std::string_view, 4u> upstream_events{
@@ -97,10 +100,11 @@
 }
 
 /*! @brief Names decisions of nodes that stand behind the outcome. */
-[[nodiscard]] std::string explain_context(const std::vector<const log_record*>& context, std::string_view node) {
+[[nodiscard]] std::string explain_context(const std::vector<const log_record*>& context, std::string_view node,
+    std::int64_t arrival_ms, std::int64_t end_ms) {
     std::string text{};
     for(const auto* record : context) {
-        const bool own_node = record->node == node;
+        const bool own_node = record->node == node && record->time_ms <= end_ms;
         if(record->event == "upstream_gone" || record->event == "upstream_leaving") {
             const bool repeated = text.find(record->find("upstream")) != std::string::npos;
             text += repeated ? std::string{}
@@ -108,7 +112,7 @@
                                    (record->event == "upstream_gone" ? " was gone" : " was leaving");
         } else if(own_node && record->event == "stop") {
             text += "; the node had been told to stop";
-        } else if(own_node && record->event == "start") {
+        } else if(own_node && record->event == "start" && arrival_ms - record->time_ms <= settling_ms) {
             text += "; the node had just started";
         } else if(own_node && record->event == "store_lost" && text.find("store") == std::string::npos) {
             text += "; the node could not reach the store";
@@ -245,7 +249,8 @@
     const auto* last = this->final_line();
     result["complete"] = last != nullptr;
     result["outcome"] = last != nullptr ? std::string{last->find("outcome")} : std::string{};
-    result["cause"] = last != nullptr ? explain_outcome(*last) + explain_context(context, request.node)
+    result["cause"] = last != nullptr ? explain_outcome(*last) +
+                                            explain_context(context, request.node, request.arrival_ms, request.end_ms)
                                       : "the last line of the request is missing: the node ended, or dropped log lines";
     auto& lines = result["timeline"] = json::array();
     for(const auto* record : shown) {
--- a/test/operate/log_timeline_test.cpp
+++ b/test/operate/log_timeline_test.cpp
@@ -97,6 +97,17 @@
     CHECK(this->cause().find("told to stop") != std::string::npos);
 }
 
+// Guards against a start long before, or after the end of the request, that is given as a cause.
+TEST_CASE_FIXTURE(log_timeline_fixture, "explain_start_of_node_counts_only_shortly_before") {
+    this->read("time_ms=100000 event=start\n"
+               "time_ms=107000 event=request id=r1 path=\"\" status=503 outcome=refused ms=0 reason=unavailable\n"
+               "time_ms=108000 event=start\n",
+        "front-a");
+    CHECK(this->cause().find("started") == std::string::npos);
+    this->read("time_ms=105000 event=start\n", "front-a");
+    CHECK(this->cause().find("started") != std::string::npos);
+}
+
 // Guards against a load that failed without the orders and the lease that explain it.
 TEST_CASE_FIXTURE(log_timeline_fixture, "explain_load_failed_shows_orders_of_the_adapter_and_leases") {
     this->read("time_ms=5000 event=load id=r1 upstream=i-1 outcome=timeout ms=900\n"
