--- a/src/lagoonsaddle/edge/dispatch_service.cpp
+++ b/src/lagoonsaddle/edge/dispatch_service.cpp
@@ -139,33 +139,43 @@
     co_return tl::make_unexpected(std::move(failed));
 }
 
+std::optional<selection> dispatch_service::reserve(
+    const reservation_ledger::key_type& key, const wire::place_request& wanted, const std::set<std::string>& excluded) {
+    const auto now = this->context.time.now();
+    selection_request needs{.service = wanted.service,
+        .model = wanted.model,
+        .adapter = wanted.adapter,
+        .prompt_tokens = wanted.prompt_tokens,
+        .shared_prefix = wanted.shared_prefix,
+        .shared_tokens = wanted.shared_tokens,
+        .version_min = wanted.version_min,
+        .zone = wanted.zone,
+        .excluded = &excluded,
+        .exact_load = &this->ledger};
+    needs.has_place = [this, &wanted](const std::string& upstream) {
+        return this->context.placement.can_place(upstream, wanted.model, wanted.adapter);
+    };
+    auto choice = this->selector_of(wanted.zone).choose(this->context.upstreams, needs, now);
+    if(choice) {
+        this->ledger.reserve(key, reservation{.upstream = choice->upstream,
+                                      .model = wanted.model,
+                                      .adapter = wanted.adapter,
+                                      .cold_tokens = choice->cold_tokens,
+                                      .expires = now + milliseconds{wanted.lifetime_ms} + reservation_margin});
+        this->context.placement.touch(choice->upstream, wanted.model, wanted.adapter);
+    }
+    return choice;
+}
+
 asio::awaitable<wire::placement> dispatch_service::place_here(std::string node, wire::place_request wanted) {
     const auto begin = this->context.time.now();
-    auto& selector = this->selector_of(wanted.zone);
-    selector.record_request(wanted.model, wanted.adapter, wanted.shared_prefix, begin);
+    this->selector_of(wanted.zone).record_request(wanted.model, wanted.adapter, wanted.shared_prefix, begin);
     std::set<std::string> excluded{wanted.excluded.begin(), wanted.excluded.end()};
     const reservation_ledger::key_type key{std::move(node), wanted.ticket};
     wire::placement reply{};
     core::error failure{.cause = core::reason::lease_expired, .message = "this node does not order loads in the zone"};
-    for(unsigned tries{}; tries < tries_max; ++tries) {
-        if(!this->context.placement.may_order(wanted.zone)) {
-            break;
-        }
-        const auto now = this->context.time.now();
-        selection_request needs{.service = wanted.service,
-            .model = wanted.model,
-            .adapter = wanted.adapter,
-            .prompt_tokens = wanted.prompt_tokens,
-            .shared_prefix = wanted.shared_prefix,
-            .shared_tokens = wanted.shared_tokens,
-            .version_min = wanted.version_min,
-            .zone = wanted.zone,
-            .excluded = &excluded,
-            .exact_load = &this->ledger};
-        needs.has_place = [this, &wanted](const std::string& upstream) {
-            return this->context.placement.can_place(upstream, wanted.model, wanted.adapter);
-        };
-        const auto choice = selector.choose(this->context.upstreams, needs, now);
+    for(unsigned tries{}; tries < tries_max && this->context.placement.may_order(wanted.zone); ++tries) {
+        const auto choice = this->reserve(key, wanted, excluded);
         if(!choice) {
             failure = core::error{.cause = core::reason::unavailable, .message = "no upstream of the zone is left"};
             break;
@@ -173,22 +183,15 @@
         reply.upstream = choice->upstream;
         reply.cold_tokens = choice->cold_tokens;
         reply.delay_ms = static_cast<std::uint64_t>(std::max(choice->mean_wait_ms, 0.0));
-        this->ledger.reserve(key, reservation{.upstream = choice->upstream,
-                                      .model = wanted.model,
-                                      .adapter = wanted.adapter,
-                                      .cold_tokens = choice->cold_tokens,
-                                      .expires = now + milliseconds{wanted.lifetime_ms} + reservation_margin});
         if(wanted.adapter.empty()) {
             co_return reply;
         }
-        this->context.placement.touch(choice->upstream, wanted.model, wanted.adapter);
-        const auto passed = std::chrono::duration_cast<milliseconds>(now - begin);
-        const auto left = milliseconds{wanted.timeout_ms} - passed;
+        const auto passed = std::chrono::duration_cast<milliseconds>(this->context.time.now() - begin);
         adapter_request load{.upstream = choice->upstream,
             .model = wanted.model,
             .adapter = wanted.adapter,
             .version_min = wanted.version_min,
-            .timeout = std::max(left, milliseconds{1}),
+            .timeout = std::max(milliseconds{wanted.timeout_ms} - passed, milliseconds{1}),
             .may_wait = wanted.may_wait};
         const auto version = co_await this->context.placement.ensure(std::move(load));
         if(version) {
--- a/src/lagoonsaddle/edge/dispatch_service.hpp
+++ b/src/lagoonsaddle/edge/dispatch_service.hpp
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -96,6 +98,9 @@
     [[nodiscard]] boost::asio::awaitable<void> send_progress(std::string holder);
     [[nodiscard]] boost::asio::awaitable<core::result<wire::placement>> ask(
         std::string holder, wire::place_request wanted, bool resident);
+    /*! @brief Chooses an upstream of the zone by the exact load, and counts the request there. */
+    [[nodiscard]] std::optional<selection> reserve(const reservation_ledger::key_type& key,
+        const wire::place_request& wanted, const std::set<std::string>& excluded);
     [[nodiscard]] wire::request_progress& notes_for(const std::string& holder);
     [[nodiscard]] upstream_selector& selector_of(const std::string& zone);
     void learn(const std::string& zone, const wire::place_request& wanted, const wire::placement& reply);
--- a/src/lagoonsaddle/operate/log_timeline.cpp
+++ b/src/lagoonsaddle/operate/log_timeline.cpp
@@ -232,6 +232,7 @@
 json log_timeline::explain() const {
     const auto request = this->scope_of();
     std::vector<const log_record*> shown{};
+    shown.reserve(this->own.size());
     for(const auto& record : this->own) {
         shown.push_back(&record);
     }
