http: write a long body on the executor of its reader

Trace: the write beside the reader completed on the socket's own executor, which has several threads in a node of the product, while the reader closed the same socket on its strand.

The write is bound to the reader's executor. The entry node has one thread and is not affected.

--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -226,7 +226,7 @@
             co_await beast_http::async_write(
                 this->socket, *outgoing, asio::redirect_error(asio::use_awaitable, failure));
         } else {
-            this->write_beside(outgoing);
+            this->write_beside(outgoing, co_await asio::this_coro::executor);
         }
         if(!failure) {
             failure = co_await this->read_head(options);
@@ -283,13 +283,15 @@
         }
     }
 
-    void write_beside(const std::shared_ptr<beast_http::request<beast_http::string_body>>& outgoing) {
+    /*! @brief Writes on the executor of the reader, as both use the socket: the socket's own has several threads. */
+    void write_beside(const std::shared_ptr<beast_http::request<beast_http::string_body>>& outgoing,
+        const asio::any_io_executor& executor) {
         this->writing = std::make_shared<pending_write>();
-        beast_http::async_write(this->socket, *outgoing,
-            [outgoing, state = this->writing](const boost::system::error_code& failure, std::size_t) {
-                state->done = true;
-                state->failed = static_cast<bool>(failure);
-            });
+        auto finished = [outgoing, state = this->writing](const boost::system::error_code& failure, std::size_t) {
+            state->done = true;
+            state->failed = static_cast<bool>(failure);
+        };
+        beast_http::async_write(this->socket, *outgoing, asio::bind_executor(executor, std::move(finished)));
     }
 
     /*! @brief Reads response heads until one belongs to the request. */
