edge, platform: log and measure the epoch of the store

Cause: the log could not tell the hypotheses of docs/incidents/restored-store.md apart: no line names the generation of the store behind an answer, a node that knows of a newer configuration without having it, or the token of an order. Change: the store's epoch is decoded from every answer; events store_restored and configuration_behind, fields epoch and token, and the gauges lagoonsaddle_edge_store_epoch and lagoonsaddle_edge_configuration_announced. No decision changes. Conclusion: each hypothesis now has a line of its own.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <utility>
 #include <vector>
@@ -118,7 +119,7 @@
     void apply_configuration(const record_change& change);
     void apply_lease(const record_change& change);
     /*! @brief Reads the configuration from the store, because a peer has announced a newer version. */
-    void fetch_configuration();
+    void fetch_configuration(std::uint64_t announced_version);
     /*! @brief Logs that an upstream is leaving or was removed, and announces a leaving one to the peers. */
     void announce_leaving(const std::string& id);
     void start_watcher(record_kind kind, milliseconds timeout, milliseconds delay_after_changes);
@@ -157,6 +158,8 @@
     core::time_point started{};
     bool upstreams_known{false};
     bool fetching_configuration{false};
+    /*! @brief Newest version of the configuration that a peer has announced. */
+    std::uint64_t announced_configuration{};
     bool stopping{false};
 };
 
@@ -248,7 +251,7 @@
     this->membership->on_item([this](const fleet::gossip_item& value) {
         this->quarantine.merge(value);
         if(value.kind == configuration_item_kind && value.version > this->routes.version()) {
-            this->fetch_configuration();
+            this->fetch_configuration(value.version);
         }
         if(value.kind == leaving_item_kind && this->upstreams.mark_leaving(value.key, value.version)) {
             this->log.write(log_line{"upstream_leaving"}.add("upstream", value.key).add("source", "peer"));
@@ -339,7 +342,7 @@
             version_record{.model = entry.model, .adapter = entry.adapter, .version = entry.version});
     }
     if(updates.configuration_version > this->routes.version()) {
-        this->fetch_configuration();
+        this->fetch_configuration(updates.configuration_version);
     }
 }
 
@@ -380,6 +383,7 @@
         this->log.write(log_line{"configuration"}
                             .add("version", static_cast<std::int64_t>(config->version))
                             .add("revision", static_cast<std::int64_t>(change.revision))
+                            .add("epoch", static_cast<std::int64_t>(this->store.epoch()))
                             .add("routes", static_cast<std::int64_t>(config->routes.size())));
         this->pending_updates.configuration_version = config->version;
         this->membership->publish(fleet::gossip_item{
@@ -387,7 +391,8 @@
     }
 }
 
-void entry_node::impl::fetch_configuration() {
+void entry_node::impl::fetch_configuration(std::uint64_t announced_version) {
+    this->announced_configuration = std::max(this->announced_configuration, announced_version);
     if(std::exchange(this->fetching_configuration, true)) {
         return;
     }
@@ -399,6 +404,13 @@
             if(page) {
                 this->on_changes(record_kind::configuration, *page);
             }
+            if(this->routes.version() < this->announced_configuration) {
+                this->log.write(
+                    log_line{"configuration_behind"}
+                        .add("version", static_cast<std::int64_t>(this->routes.version()))
+                        .add("announced", static_cast<std::int64_t>(this->announced_configuration))
+                        .add("reason", page ? std::string_view{"not_stored"} : core::to_string(page.error().cause)));
+            }
         },
         asio::detached);
 }
@@ -520,6 +532,10 @@
     };
     gauge("lagoonsaddle_edge_configuration_version", "Version of the configuration in force.",
         static_cast<double>(this->routes.version()));
+    gauge("lagoonsaddle_edge_configuration_announced", "Newest version of the configuration that a peer has announced.",
+        static_cast<double>(this->announced_configuration));
+    gauge("lagoonsaddle_edge_store_epoch", "Epoch of the platform's store; rises when it is restored from a copy.",
+        static_cast<double>(this->store.epoch()));
     gauge("lagoonsaddle_edge_upstreams", "Known upstreams.", static_cast<double>(this->upstreams.all().size()));
     gauge("lagoonsaddle_edge_active_requests", "Requests of callers in progress.",
         static_cast<double>(this->caller_server.active_requests()));
--- a/src/lagoonsaddle/edge/instrumented.cpp
+++ b/src/lagoonsaddle/edge/instrumented.cpp
@@ -68,4 +68,8 @@
     co_return written;
 }
 
+std::uint64_t instrumented_store::epoch() const noexcept {
+    return this->wrapped.epoch();
+}
+
 } // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/instrumented.hpp
+++ b/src/lagoonsaddle/edge/instrumented.hpp
@@ -32,6 +32,7 @@
     [[nodiscard]] boost::asio::awaitable<core::result<stored_lease>> read_lease(std::string zone) override;
     [[nodiscard]] boost::asio::awaitable<core::result<stored_lease>> write_lease(
         lease_record lease, std::uint64_t revision) override;
+    [[nodiscard]] std::uint64_t epoch() const noexcept override;
 
 private:
     void record_call(
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -187,7 +187,8 @@
                 this->context.log.write(log_line{"lease_acquired"}
                                             .add("zone", zone)
                                             .add("previous", previous)
-                                            .add("token", static_cast<std::int64_t>(written->lease.fencing_token)));
+                                            .add("token", static_cast<std::int64_t>(written->lease.fencing_token))
+                                            .add("epoch", static_cast<std::int64_t>(written->epoch)));
                 this->on_upstreams_changed();
             } else if(!this->releasing) {
                 this->context.log.write(log_line{"lease_not_acquired"}
@@ -406,6 +407,7 @@
         co_return;
     }
     auto& lease = this->lease_of(known->entry.availability_zone);
+    const auto fencing_token = lease.current()->lease.fencing_token;
     upstream_order message{.address = known->entry.address,
         .upstream = upstream,
         .load = order.load,
@@ -414,7 +416,7 @@
         .version = order.version,
         .expected_orders = worker.scheduler.orders_accepted(),
         .holder = this->settings.node_name,
-        .fencing_token = lease.current()->lease.fencing_token};
+        .fencing_token = fencing_token};
     const auto outcome = co_await this->context.control.send_order(std::move(message));
     const auto now = this->context.clock.now();
     log_line line{"order"};
@@ -422,6 +424,7 @@
         .add("operation", order.load ? "load" : "unload")
         .add("adapter", adapter_key(order.model, order.adapter))
         .add("orders", static_cast<std::int64_t>(worker.scheduler.orders_accepted()))
+        .add("token", static_cast<std::int64_t>(fencing_token))
         .add("outcome", outcome ? to_string(*outcome) : core::to_string(outcome.error().cause));
     this->context.log.write(line);
     if(!outcome) {
--- a/src/lagoonsaddle/edge/protocol.hpp
+++ b/src/lagoonsaddle/edge/protocol.hpp
@@ -74,12 +74,16 @@
     std::vector<record_change> records{};
     /*! @brief Revision from which to watch for further changes. */
     std::uint64_t revision{};
+    /*! @brief Epoch of the store in which the revision was issued. */
+    std::uint64_t epoch{};
 };
 
 /*! @brief A lease with the revision of its record. */
 struct stored_lease {
     lease_record lease{};
     std::uint64_t revision{};
+    /*! @brief Epoch of the store in which the revision was issued. */
+    std::uint64_t epoch{};
 };
 
 /*! @brief How old the data returned by a read may be. */
@@ -90,7 +94,12 @@
     stale
 };
 
-/*! @brief Client interface of the platform's store. Errors of writes carry a verdict. */
+/**
+ * @brief Client interface of the platform's store. Errors of writes carry a verdict.
+ *
+ * The store can be restored from a copy that lacks its latest writes. It then issues revisions again that it had
+ * already issued, so that revisions are comparable only within one epoch; the epoch rises with each restore.
+ */
 class record_store {
 public:
     record_store() = default;
@@ -124,6 +133,9 @@
      */
     [[nodiscard]] virtual boost::asio::awaitable<core::result<stored_lease>> write_lease(
         lease_record lease, std::uint64_t revision) = 0;
+
+    /*! @brief Returns the highest epoch of the store in any answer so far, also in errors; 0 when none was stated. */
+    [[nodiscard]] virtual std::uint64_t epoch() const noexcept = 0;
 };
 
 /*! @brief An order to an upstream to load or unload a base model or an adapter. */
--- a/src/lagoonsaddle/edge/record_watcher.cpp
+++ b/src/lagoonsaddle/edge/record_watcher.cpp
@@ -62,6 +62,18 @@
     }
 }
 
+void record_watcher::observe_epoch(const record_page& page) {
+    const auto previous = std::exchange(this->last_epoch, page.epoch);
+    if(this->last_revision && previous != page.epoch) {
+        this->log.write(log_line{"store_restored"}
+                            .add("kind", to_string(this->settings.kind))
+                            .add("epoch", static_cast<std::int64_t>(page.epoch))
+                            .add("previous", static_cast<std::int64_t>(previous))
+                            .add("revision", static_cast<std::int64_t>(page.revision))
+                            .add("last_revision", static_cast<std::int64_t>(*this->last_revision)));
+    }
+}
+
 asio::awaitable<void> record_watcher::run() {
     asio::steady_timer timer{co_await asio::this_coro::executor};
     while(true) {
@@ -70,6 +82,7 @@
         std::chrono::milliseconds delay{0};
         if(page) {
             this->handle_success();
+            this->observe_epoch(*page);
             this->last_revision = std::max(page->revision, this->last_revision.value_or(0u));
             if(is_list) {
                 this->observer.on_list(this->settings.kind, *page);
--- a/src/lagoonsaddle/edge/record_watcher.hpp
+++ b/src/lagoonsaddle/edge/record_watcher.hpp
@@ -82,6 +82,7 @@
     [[nodiscard]] boost::asio::awaitable<core::result<record_page>> fetch_records(bool& is_list);
     void handle_failure(const core::error& failure);
     void handle_success();
+    void observe_epoch(const record_page& page);
 
     record_store& store;
     record_observer& observer;
@@ -90,6 +91,8 @@
     log_sink& log;
     record_watcher_options settings;
     std::optional<std::uint64_t> last_revision{};
+    /*! @brief Epoch of the store in the last page. */
+    std::uint64_t last_epoch{};
     std::optional<core::time_point> last_success_at{};
     std::optional<core::time_point> failing_since{};
 };
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -149,6 +149,10 @@
     asio::awaitable<core::result<stored_lease>> write_lease(lease_record, std::uint64_t) override {
         co_return core::fail(core::reason::unavailable, "not used");
     }
+
+    [[nodiscard]] std::uint64_t epoch() const noexcept override {
+        return 0u;
+    }
 };
 
 class unused_control final : public upstream_control {
--- a/test/edge/placement_fixture.hpp
+++ b/test/edge/placement_fixture.hpp
@@ -51,12 +51,17 @@
         if((found == this->leases.end() ? 0u : found->second.revision) != revision) {
             co_return core::fail(core::reason::conflict, "another revision");
         }
-        const stored_lease stored{.lease = lease, .revision = ++this->revisions};
+        const stored_lease stored{.lease = lease, .revision = ++this->revisions, .epoch = this->current_epoch};
         this->leases[lease.availability_zone] = stored;
         co_return stored;
     }
 
+    [[nodiscard]] std::uint64_t epoch() const noexcept override {
+        return this->current_epoch;
+    }
+
     std::uint64_t revisions{};
+    std::uint64_t current_epoch{};
     std::map<std::string, stored_lease> leases{};
 };
 
--- a/test/edge/record_watcher_test.cpp
+++ b/test/edge/record_watcher_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <deque>
 #include <string>
 #include <vector>
@@ -39,6 +40,10 @@
         co_return core::fail(core::reason::not_found, "not used");
     }
 
+    [[nodiscard]] std::uint64_t epoch() const noexcept override {
+        return 0u;
+    }
+
     std::deque<core::result<record_page>> responses{};
     std::vector<std::string> calls{};
 
@@ -73,9 +78,13 @@
     std::vector<std::string> events{};
 };
 
-class null_log final : public log_sink {
+class recording_log final : public log_sink {
 public:
-    void write(const log_line&) override {}
+    void write(const log_line& line) override {
+        this->events.emplace_back(line.event());
+    }
+
+    std::vector<std::string> events{};
 };
 
 struct record_watcher_fixture {
@@ -104,7 +113,7 @@
     scripted_store store{this->context};
     recording_observer observer{};
     store_backoff backoff{this->context};
-    null_log log{};
+    recording_log log{};
     freshness required_freshness{freshness::exact};
 };
 
@@ -121,6 +130,15 @@
     CHECK(this->observer.events == string_list{"listed 5", "changed 7", "listed 9"});
 }
 
+// Guards against a restore of the store that no log line shows.
+TEST_CASE_FIXTURE(record_watcher_fixture, "run_restored_store_is_logged_once") {
+    for(const auto epoch : {1u, 1u, 2u, 2u}) {
+        this->store.responses.emplace_back(record_page{.revision = 5u, .epoch = epoch});
+    }
+    this->run();
+    CHECK(std::ranges::count(this->log.events, "store_restored") == 1);
+}
+
 // Guards against removing upstreams whose entries expired during an outage: the observer has to learn of the recovery
 // before it receives the changes.
 TEST_CASE_FIXTURE(record_watcher_fixture, "run_after_outage_reports_recovery_before_changes") {
