--- a/test/edge/lease_tracker_test.cpp
+++ b/test/edge/lease_tracker_test.cpp
@@ -131,4 +131,31 @@
     CHECK_FALSE(this->tracker.is_holder());
 }
 
+// Guards against two holders with one fencing token: a restored store has forgotten the lease with the highest one.
+TEST_CASE_FIXTURE(lease_tracker_fixture, "make_acquisition_restored_store_exceeds_forgotten_token") {
+    auto forgotten = make_lease("n2", other_boot_id, 5u);
+    forgotten.epoch = 1u;
+    auto remembered = make_lease("n3", other_boot_id, 4u);
+    remembered.epoch = 2u;
+    lease_tracker started_later{make_options(true)};
+    started_later.observe(remembered, this->now);
+    CHECK(started_later.make_acquisition("z").lease.fencing_token > forgotten.lease.fencing_token);
+    this->tracker.observe(forgotten, this->now);
+    this->tracker.observe(remembered, this->now);
+    const auto acquisition = this->tracker.make_acquisition("z");
+    CHECK(acquisition.lease.fencing_token > forgotten.lease.fencing_token);
+    CHECK(acquisition.revision == remembered.revision);
+}
+
+// Guards against orders under a lease that a restored store has forgotten, or has given back to its previous holder.
+TEST_CASE_FIXTURE(lease_tracker_fixture, "may_order_loads_restored_store_waits_for_new_acquisition") {
+    auto own_lease = make_lease("n1", own_boot_id, 5u);
+    own_lease.epoch = 1u;
+    this->tracker.read_succeeded(own_lease, this->now, this->now);
+    CHECK(this->tracker.may_order_loads(this->now + 100ms));
+    own_lease.epoch = 2u;
+    this->tracker.read_succeeded(own_lease, this->now + 200ms, this->now + 200ms);
+    CHECK_FALSE(this->tracker.may_order_loads(this->now + 300ms));
+}
+
 } // namespace lagoonsaddle::edge
--- a/test/edge/record_watcher_test.cpp
+++ b/test/edge/record_watcher_test.cpp
@@ -139,6 +139,25 @@
     CHECK(std::ranges::count(this->log.events, "store_restored") == 1);
 }
 
+// Guards against changes that a restored store wrote below the last revision: a watch from there would skip them.
+TEST_CASE_FIXTURE(record_watcher_fixture, "run_restored_store_lists_again") {
+    this->store.responses.emplace_back(record_page{.records = {{.name = "u"}}, .revision = 5u, .epoch = 1u});
+    this->store.responses.emplace_back(record_page{.records = {{.name = "u"}}, .revision = 7u, .epoch = 2u});
+    this->store.responses.emplace_back(record_page{.records = {{.name = "u"}}, .revision = 8u, .epoch = 2u});
+    this->run();
+    CHECK(this->store.calls == string_list{"list", "watch 5", "list", "watch 8"});
+    CHECK(this->observer.events == string_list{"listed 5", "restored", "listed 8"});
+}
+
+// Guards against changes that a restore has undone: a stale read may return them after it.
+TEST_CASE_FIXTURE(record_watcher_fixture, "run_page_of_earlier_epoch_is_ignored") {
+    this->store.responses.emplace_back(record_page{.records = {{.name = "u"}}, .revision = 5u, .epoch = 2u});
+    this->store.responses.emplace_back(record_page{.records = {{.name = "u"}}, .revision = 9u, .epoch = 1u});
+    this->run();
+    CHECK(this->store.calls == string_list{"list", "watch 5", "watch 5"});
+    CHECK(this->observer.events == string_list{"listed 5"});
+}
+
 // Guards against removing upstreams whose entries expired during an outage: the observer has to learn of the recovery
 // before it receives the changes.
 TEST_CASE_FIXTURE(record_watcher_fixture, "run_after_outage_reports_recovery_before_changes") {
--- a/test/edge/slot_scheduler_test.cpp
+++ b/test/edge/slot_scheduler_test.cpp
@@ -66,6 +66,28 @@
     CHECK(this->scheduler.free_slots(this->now) == 0u);
 }
 
+// Guards against more adapters than slots: an upstream that no longer holds the adapter answers `done` without counting
+// the order, so that the next order could match the count of another node's order.
+TEST_CASE_FIXTURE(slot_scheduler_fixture, "record_outcome_unload_of_reported_adapter_waits_for_report") {
+    upstream_report full{.orders_accepted = 3u};
+    full.models["m"].adapters = {{"a", 1u}, {"b", 1u}};
+    REQUIRE(this->scheduler.synchronize(full, this->now, this->now));
+    this->now += 1s;
+    this->scheduler.add_waiter("m", "c", 0u, this->now);
+    const auto eviction = this->scheduler.next_order(this->now);
+    REQUIRE(eviction.has_value());
+    REQUIRE_FALSE(eviction->load);
+    this->scheduler.record_outcome(*eviction, order_outcome::done, this->now);
+    CHECK_FALSE(this->scheduler.next_order(this->now).has_value());
+    // Another node has loaded `d` into the slot.
+    upstream_report current{.orders_accepted = 4u};
+    current.models["m"].adapters = {{eviction->adapter == "a" ? "b" : "a", 1u}, {"d", 1u}};
+    REQUIRE(this->scheduler.synchronize(current, this->now + 100ms, this->now + 110ms));
+    const auto next = this->scheduler.next_order(this->now + 110ms);
+    REQUIRE(next.has_value());
+    CHECK_FALSE(next->load);
+}
+
 // Guards against losing the effect of an order to a report that describes an earlier state.
 TEST_CASE_FIXTURE(slot_scheduler_fixture, "synchronize_report_older_than_order_is_ignored") {
     this->load_adapter("a");
--- a/test/platform_node/entry_node_test.py
+++ b/test/platform_node/entry_node_test.py
@@ -1,145 +1,15 @@
 """Tests entry node processes against stand-ins for the platform's object store and engines."""
 
-import contextlib
-import http.client
-import itertools
-import os
-import pathlib
 import signal
-import socket
-import subprocess
-import sys
-import tempfile
 import threading
-import time
 import unittest
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from entry_node_case import COMPLETE_STREAM, CONDITION_TIMEOUT_S, CONFIGURATION, EntryNodeCase
 
-import standin  # noqa: E402
 
-BINARY = pathlib.Path(os.environ["LAGOONSADDLE_BUILD"]) / "bin" / "lagoonsaddled"
-CONDITION_TIMEOUT_S = 60.0
-COMPLETE_STREAM = "".join(f"id: {number}\ndata: {{0}}\n\n" for number in range(1, standin.EVENTS_PER_STREAM + 1))
-CONFIGURATION = {"version": 1, "routes": [{
-    "name": "r", "host": "h", "pathPrefix": "/a/", "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 1000,
-    "maxAttempts": 1, "service": "llm"}],
-    "services": [{"name": "llm", "maxConnections": 64,
-                  "engine": {"adapterSlots": 2, "loadsPerS": 2, "models": [{"name": "m", "loadS": 1}]}}]}
-
-
-def free_port():
-    """Returns a free port of 127.0.0.1; another process may take it before it is used."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-class Node:
-    """An entry node process with its own loopback address."""
-
-    address_numbers = itertools.count(11)
-
-    def __init__(self, store, name, ports, seeds):
-        self.ip, self.name, self.ports = f"127.0.0.{next(self.address_numbers)}", name, ports
-        self.seeds = seeds or [self.ip]
-        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
-            file.write(f"""// Settings of a test.
-{{"name": "{name}", "availability_zone": "z", "listen_callers": "{self.ip}:{ports[0]}",
- "listen_readiness": "{self.ip}:{ports[1]}", "peer_port": {ports[2]}, "seeds": {str([s + ':1' for s in self.seeds]).replace("'", '"')},
- "store": "{store.address}", "upstreams_check_tokens": true, "lease_time_s": 3, "retry_ratio": 0.2, "retry_slack": 50,
- "retry_window_s": 10, "stop_timeout_s": 8}}""")
-        self.settings = file.name
-        self.log = tempfile.TemporaryFile("w+")
-        self.start()
-
-    def start(self):
-        """Starts the node process."""
-        self.process = subprocess.Popen([BINARY, "entry", f"--settings={self.settings}"], stdout=self.log)
-
-    def close(self):
-        """Kills the process if it still runs and removes its files."""
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
-        self.log.close()
-        os.unlink(self.settings)
-
-    def is_listening(self):
-        """Returns whether the caller port accepts connections."""
-        with socket.socket() as probe:
-            return probe.connect_ex((self.ip, self.ports[0])) == 0
-
-    def is_ready(self):
-        """Returns whether the readiness endpoint answers 200."""
-        try:
-            connection = http.client.HTTPConnection(self.ip, self.ports[1], timeout=5)
-            connection.request("GET", "/-/readiness")
-            return connection.getresponse().status == 200
-        except OSError:
-            return False
-
-    def send_request(self, request_id, adapter, path="/a/1"):
-        """Sends a request; returns the status and the body, which is None when the body was truncated."""
-        connection = http.client.HTTPConnection(self.ip, self.ports[0], timeout=30)
-        with contextlib.closing(connection):
-            connection.request("POST", path, b"body", {
-                "Host": "h", "X-Attempt-Id": request_id, "X-Model": f"m/{adapter}", "X-Token-Count": "10,4",
-                "X-Deadline-Ms": "15000"})
-            response = connection.getresponse()
-            try:
-                return response.status, response.read().decode()
-            except http.client.IncompleteRead:
-                return response.status, None
-
-
-class EntryNodeTest(unittest.TestCase):
+class EntryNodeTest(EntryNodeCase):
     """Each test starts its own store, engines and nodes."""
 
-    def setUp(self):
-        self.ids = (f"{number:016x}" for number in itertools.count(1))
-        self.store = standin.Store()
-        self.engines = [standin.Engine(self.store, f"i-{number}", "z") for number in range(2)]
-        self.ports = [free_port() for _ in range(3)]
-        self.nodes = []
-
-    def tearDown(self):
-        for node in self.nodes:
-            node.close()
-        for server in [self.store, *self.engines]:
-            server.shutdown()
-            server.server_close()
-        self.assertEqual([], [violation for engine in self.engines for violation in engine.violations])
-
-    def add_node(self):
-        """Starts a node with the first node as its seed."""
-        seeds = [self.nodes[0].ip] if self.nodes else None
-        self.nodes.append(Node(self.store, f"n{len(self.nodes)}", self.ports, seeds))
-        self.eventually(self.nodes[-1].is_listening, "the node listens")
-        return self.nodes[-1]
-
-    def eventually(self, condition, what):
-        """Waits until a condition holds; fails the test after CONDITION_TIMEOUT_S."""
-        end = time.monotonic() + CONDITION_TIMEOUT_S
-        while time.monotonic() < end:
-            if condition():
-                return
-            time.sleep(0.05)
-        self.fail(f"timed out waiting until {what}")
-
-    def is_served(self, node, adapter):
-        """Returns whether a request for an adapter gets the complete stream."""
-        return node.send_request(next(self.ids), adapter) == (200, COMPLETE_STREAM.format(adapter))
-
-    def start_fleet(self, size):
-        """Writes the configuration, starts nodes and waits until each is ready and serves an adapter."""
-        self.store.put("config", "main", CONFIGURATION)
-        for _ in range(size):
-            self.add_node()
-        for node in self.nodes:
-            self.eventually(node.is_ready, "the node is ready")
-            self.eventually(lambda node=node: self.is_served(node, "a0"), "the adapter is served")
-
     def test_start_without_configuration_answers_503_until_it_is_known(self):
         """A node that has not read the configuration yet must not answer 404 for routes that exist."""
         node = self.add_node()
@@ -229,13 +99,6 @@
         self.assertEqual(before, len(draining.executed))
         self.assertGreaterEqual(len(staying.executed), 8)
 
-    @staticmethod
-    def read_log(node):
-        """Returns the log output of a node."""
-        node.log.flush()
-        with open(f"/proc/self/fd/{node.log.fileno()}", encoding="utf-8") as file:
-            return file.read()
-
 
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
--- a/test/platform_node/standin.py
+++ b/test/platform_node/standin.py
@@ -55,15 +55,32 @@
 
 
 class Store(Server):
-    """Object store: objects by kind and name, with revisions, lists and watches."""
+    """Object store: objects by kind and name, with revisions, lists and watches.
+
+    It can be restored from a copy. It then has lost what was written since, issues the same revisions again and states
+    a higher era.
+    """
 
     def __init__(self):
+        self.era = 1
         self.revision = 1
         self.objects = {}
         self.history = []
         self.unavailable = False
         super().__init__()
 
+    def copy(self):
+        """Returns a copy of the data for `restore`."""
+        with self.lock:
+            return self.revision, dict(self.objects), list(self.history)
+
+    def restore(self, copy):
+        """Replaces the data by a copy and cuts off the watches that wait."""
+        with self.lock:
+            self.revision, self.objects, self.history = copy[0], dict(copy[1]), list(copy[2])
+            self.era += 1
+            self.lock.notify_all()
+
     def put(self, kind, name, spec):
         """Writes an object and returns it; `spec` of None removes the object."""
         with self.lock:
@@ -79,10 +96,14 @@
             self.lock.notify_all()
             return value
 
+    def reply(self, handler, status, body=None):
+        """Sends a response with the era of the data."""
+        handler.reply(status, body, {"Store-Era": str(self.era)})
+
     def respond(self, handler, body):
         """Serves a read, list, watch or conditional write."""
         if self.unavailable:
-            return handler.reply(503)
+            return self.reply(handler, 503)
         url = urllib.parse.urlsplit(handler.path)
         query = urllib.parse.parse_qs(url.query)
         kind, _, name = url.path.removeprefix("/-/objects/").partition("/")
@@ -91,22 +112,31 @@
         if not name:
             with self.lock:
                 items = [value for (item_kind, _), value in self.objects.items() if item_kind == kind]
-                return handler.reply(200, {"items": items, "more": False, "storeRevision": self.revision})
+                return self.reply(handler, 200, {"items": items, "more": False, "storeRevision": self.revision})
         with self.lock:
             current = self.objects.get((kind, name))
-        if handler.command == "GET":
-            return handler.reply(200 if current else 404, current)
-        proposed = json.loads(body)
-        expected_revision = proposed["metadata"].get("revision", 0)
-        if expected_revision != (current["metadata"]["revision"] if current else 0):
-            return handler.reply(409, current)
-        return handler.reply(200, self.put(kind, name, proposed["spec"]))
+            if handler.command == "GET":
+                return self.reply(handler, 200 if current else 404, current)
+            proposed = json.loads(body)
+            expected_revision = proposed["metadata"].get("revision", 0)
+            if expected_revision != (current["metadata"]["revision"] if current else 0):
+                return self.reply(handler, 409, current)
+            return self.reply(handler, 200, self.put(kind, name, proposed["spec"]))
 
     def watch(self, handler, kind, revision, wait_s):
-        """Responds with the changes of a kind after a revision, waiting up to `wait_s` for the first."""
+        """Responds with the changes of a kind after a revision, waiting up to `wait_s` for the first.
+
+        A revision that was not issued yet gets 410.
+        """
         end = time.monotonic() + wait_s
         with self.lock:
+            era = self.era
+            if revision > self.revision:
+                return self.reply(handler, 410)
             while True:
+                if self.era != era:
+                    handler.close_connection = True
+                    return None
                 events = [event for event_revision, event_kind, event in self.history
                           if event_revision > revision and event_kind == kind]
                 remaining_s = end - time.monotonic()
@@ -114,7 +144,7 @@
                     break
                 self.lock.wait(min(remaining_s, 0.2))
             body = {"events": events, "storeRevision": self.revision}
-        return handler.reply(503 if self.unavailable else 200, body)
+        return self.reply(handler, 503 if self.unavailable else 200, body)
 
 
 class Engine(Server):
