edge: list the records again when the store was restored from a copy

Cause: a watcher keeps the largest revision that it has seen. A restored store issues revisions again; a node that did not reach it until its counter had passed the old value watches from there and never gets what was written below it. Class of fault: a position in a log is compared across two histories of that log. A store that only lacks the revision answers 410, which the watcher handled already. Why this works: a page of a higher epoch ends the position, and the records are listed in the new epoch; a page of an earlier epoch, as a stale read may return it, is ignored. Upstreams that the copy lacks get the grace period of an outage, as they write their entries again.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -69,6 +69,7 @@
     void on_list(record_kind kind, const record_page& page) override;
     void on_changes(record_kind kind, const record_page& page) override;
     void on_store_recovered(record_kind kind, core::duration outage) override;
+    void on_store_restored(record_kind kind) override;
     asio::awaitable<void> handle(
         std::string peer, wire::frame message, std::shared_ptr<wire::responder> responder) override;
 
@@ -477,6 +478,13 @@
     }
 }
 
+void entry_node::impl::on_store_restored(record_kind kind) {
+    if(kind == record_kind::upstreams) {
+        // Upstreams whose entries the copy lacks write them again, as after an outage.
+        this->upstreams.on_store_recovered(this->context.clock.now());
+    }
+}
+
 asio::awaitable<void> entry_node::impl::handle(
     std::string peer, wire::frame message, std::shared_ptr<wire::responder> responder) {
     if(message.type == wire::message_type::quarantine_update) {
--- a/src/lagoonsaddle/edge/record_watcher.cpp
+++ b/src/lagoonsaddle/edge/record_watcher.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/*! @brief Delay after a stale read that returned the state before the last restore of the store. */
+constexpr std::chrono::milliseconds stale_epoch_delay{100};
+
 [[nodiscard]] std::int64_t to_milliseconds(core::duration value) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
@@ -62,16 +65,37 @@
     }
 }
 
-void record_watcher::observe_epoch(const record_page& page) {
-    const auto previous = std::exchange(this->last_epoch, page.epoch);
-    if(this->last_revision && previous != page.epoch) {
-        this->log.write(log_line{"store_restored"}
-                            .add("kind", to_string(this->settings.kind))
-                            .add("epoch", static_cast<std::int64_t>(page.epoch))
-                            .add("previous", static_cast<std::int64_t>(previous))
-                            .add("revision", static_cast<std::int64_t>(page.revision))
-                            .add("last_revision", static_cast<std::int64_t>(*this->last_revision)));
+void record_watcher::handle_restore(const record_page& page) {
+    this->log.write(log_line{"store_restored"}
+                        .add("kind", to_string(this->settings.kind))
+                        .add("epoch", static_cast<std::int64_t>(page.epoch))
+                        .add("previous", static_cast<std::int64_t>(*this->last_epoch))
+                        .add("revision", static_cast<std::int64_t>(page.revision))
+                        .add("last_revision", static_cast<std::int64_t>(this->last_revision.value_or(0u))));
+    this->last_revision.reset();
+    this->observer.on_store_restored(this->settings.kind);
+}
+
+std::chrono::milliseconds record_watcher::apply_page(const record_page& page, bool is_list) {
+    if(this->last_epoch && page.epoch < *this->last_epoch) {
+        return stale_epoch_delay;
+    }
+    const bool restored = this->last_epoch && page.epoch > *this->last_epoch;
+    if(restored) {
+        this->handle_restore(page);
+    }
+    this->last_epoch = page.epoch;
+    if(restored && !is_list) {
+        return std::chrono::milliseconds{0};
+    }
+    this->last_revision = std::max(page.revision, this->last_revision.value_or(0u));
+    if(is_list) {
+        this->observer.on_list(this->settings.kind, page);
+    } else if(!page.records.empty()) {
+        this->observer.on_changes(this->settings.kind, page);
+        return this->settings.delay_after_changes;
     }
+    return std::chrono::milliseconds{0};
 }
 
 asio::awaitable<void> record_watcher::run() {
@@ -82,14 +106,7 @@
         std::chrono::milliseconds delay{0};
         if(page) {
             this->handle_success();
-            this->observe_epoch(*page);
-            this->last_revision = std::max(page->revision, this->last_revision.value_or(0u));
-            if(is_list) {
-                this->observer.on_list(this->settings.kind, *page);
-            } else if(!page->records.empty()) {
-                this->observer.on_changes(this->settings.kind, *page);
-                delay = this->settings.delay_after_changes;
-            }
+            delay = this->apply_page(*page, is_list);
         } else if(!is_list && page.error().cause == core::reason::conflict) {
             this->log.write(log_line{"store_history_gone"}.add("kind", to_string(this->settings.kind)));
             this->last_revision.reset();
--- a/src/lagoonsaddle/edge/record_watcher.hpp
+++ b/src/lagoonsaddle/edge/record_watcher.hpp
@@ -44,12 +44,16 @@
 
     /*! @brief Called when the store responds again after failing for `outage`, before the records are passed on. */
     virtual void on_store_recovered(record_kind kind, core::duration outage) = 0;
+
+    /*! @brief Called when the store was restored from a copy that may lack records, before they are listed again. */
+    virtual void on_store_restored(record_kind kind) = 0;
 };
 
 /**
  * @brief Keeps the records of one kind up to date.
  *
- * Lists the records once and then watches for changes; lists again when the store no longer has the history.
+ * Lists the records once and then watches for changes. Lists again when the store no longer has the history, and when
+ * it was restored from a copy: its revisions go back, so that a watch from the last revision would skip changes.
  */
 class record_watcher {
 public:
@@ -82,7 +86,9 @@
     [[nodiscard]] boost::asio::awaitable<core::result<record_page>> fetch_records(bool& is_list);
     void handle_failure(const core::error& failure);
     void handle_success();
-    void observe_epoch(const record_page& page);
+    /*! @brief Passes on the records of a page; returns the delay until the next call. */
+    [[nodiscard]] std::chrono::milliseconds apply_page(const record_page& page, bool is_list);
+    void handle_restore(const record_page& page);
 
     record_store& store;
     record_observer& observer;
@@ -91,8 +97,8 @@
     log_sink& log;
     record_watcher_options settings;
     std::optional<std::uint64_t> last_revision{};
-    /*! @brief Epoch of the store in the last page. */
-    std::uint64_t last_epoch{};
+    /*! @brief Epoch of the store in the last page; nothing before the first one. */
+    std::optional<std::uint64_t> last_epoch{};
     std::optional<core::time_point> last_success_at{};
     std::optional<core::time_point> failing_since{};
 };
--- a/test/edge/record_watcher_test.cpp
+++ b/test/edge/record_watcher_test.cpp
@@ -75,6 +75,10 @@
         this->events.emplace_back("returned");
     }
 
+    void on_store_restored(record_kind) override {
+        this->events.emplace_back("restored");
+    }
+
     std::vector<std::string> events{};
 };
 
