edge: obtain an announced configuration from the peers that have it

Cause: a node read an announced version from the store once; an answer without it, or a failure, ended the attempt. The restored store has an older configuration, and what the nodes hold of the newer one was never asked for. Class of fault: the store is taken for the only holder of what it has acknowledged. Why this works: configuration_sync, taken out of entry_node, repeats store and peers until the node has the announced version. A started node does not count as ready, and refuses with 503, until it has joined the fleet (1 s at most) and has caught up (5 s at most); later, a path without a route gets 503 instead of 404 while a newer version is announced. Peers answer config_get with the decoded configuration, which the store had acknowledged.

--- /dev/null
+++ b/src/lagoonsaddle/edge/configuration_sync.cpp
@@ -0,0 +1,121 @@
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <lagoonsaddle/edge/configuration_codec.hpp>
+#include <lagoonsaddle/edge/configuration_sync.hpp>
+#include <lagoonsaddle/wire/codec.hpp>
+
+namespace lagoonsaddle::edge {
+
+namespace asio = boost::asio;
+
+configuration_sync::configuration_sync(
+    configuration_sync_context uses, configuration_sync_options options, apply_function receiver)
+    : context{uses}, settings{options}, apply{std::move(receiver)}, started{this->context.clock.now()} {}
+
+bool configuration_sync::is_behind() const noexcept {
+    return this->context.routes.version() < this->announced_version;
+}
+
+configuration_state configuration_sync::state() const {
+    const auto elapsed = this->context.clock.now() - this->started;
+    const bool compared = this->context.membership.joined() || elapsed >= this->settings.join_wait_max;
+    const bool starting = elapsed < this->settings.catch_up_max;
+    if(this->context.routes.version() == 0u || !compared || (this->is_behind() && starting)) {
+        return configuration_state::unknown;
+    }
+    return this->is_behind() ? configuration_state::behind : configuration_state::current;
+}
+
+void configuration_sync::announce(std::uint64_t version) {
+    this->announced_version = std::max(this->announced_version, version);
+    if(this->running || !this->is_behind()) {
+        return;
+    }
+    this->running = true;
+    asio::co_spawn(
+        this->context.io, [self = this->shared_from_this()] { return self->catch_up(); }, asio::detached);
+}
+
+wire::config_reply configuration_sync::make_reply() const {
+    const auto& current = this->context.routes.current();
+    if(!current) {
+        return {};
+    }
+    return {.version = current->version, .body = pack_configuration(*current)};
+}
+
+asio::awaitable<void> configuration_sync::catch_up() {
+    asio::steady_timer timer{co_await asio::this_coro::executor};
+    while(this->is_behind()) {
+        co_await this->read_store();
+        if(this->is_behind()) {
+            co_await this->ask_peers();
+        }
+        if(this->is_behind()) {
+            timer.expires_after(this->settings.retry_interval);
+            boost::system::error_code ignored{};
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+    }
+    this->running = false;
+}
+
+asio::awaitable<void> configuration_sync::read_store() {
+    const auto page = co_await this->context.store.list(record_kind::configuration);
+    if(!page) {
+        this->log_behind(core::to_string(page.error().cause));
+        co_return;
+    }
+    for(const auto& record : page->records) {
+        if(const auto* value = std::get_if<configuration>(&record.value)) {
+            this->apply(*value, "store");
+        }
+    }
+    if(this->is_behind()) {
+        this->log_behind("not_stored");
+    }
+}
+
+asio::awaitable<void> configuration_sync::ask_peers() {
+    const auto peers = this->context.peers.live_peers();
+    for(std::size_t asked{}; asked < std::min(peers.size(), this->settings.peers_per_round); ++asked) {
+        const auto& peer = peers[this->next_peer++ % peers.size()];
+        auto request = wire::pack(wire::config_get{});
+        const auto response =
+            co_await peer->call(wire::message_type::config_get, std::move(request), this->settings.peer_timeout);
+        if(!response) {
+            continue;
+        }
+        const auto reply = wire::unpack<wire::config_reply>(response->body);
+        if(!reply || reply->version <= this->context.routes.version()) {
+            continue;
+        }
+        if(auto value = unpack_configuration(reply->body)) {
+            this->apply(std::move(*value), "peer");
+        }
+        if(!this->is_behind()) {
+            co_return;
+        }
+    }
+}
+
+void configuration_sync::log_behind(std::string_view reason) {
+    if(std::exchange(this->logged_version, this->announced_version) == this->announced_version) {
+        return;
+    }
+    this->context.log.write(log_line{"configuration_behind"}
+                                .add("version", static_cast<std::int64_t>(this->context.routes.version()))
+                                .add("announced", static_cast<std::int64_t>(this->announced_version))
+                                .add("reason", reason));
+}
+
+} // namespace lagoonsaddle::edge
--- /dev/null
+++ b/src/lagoonsaddle/edge/configuration_sync.hpp
@@ -0,0 +1,104 @@
+#ifndef LAGOONSADDLE_EDGE_CONFIGURATION_SYNC_HPP
+#define LAGOONSADDLE_EDGE_CONFIGURATION_SYNC_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <lagoonsaddle/cluster/membership_service.hpp>
+#include <lagoonsaddle/cluster/peer_directory.hpp>
+#include <lagoonsaddle/core/clock.hpp>
+#include <lagoonsaddle/edge/decision_log.hpp>
+#include <lagoonsaddle/edge/protocol.hpp>
+#include <lagoonsaddle/edge/route_table.hpp>
+#include <lagoonsaddle/wire/messages.hpp>
+
+namespace lagoonsaddle::edge {
+
+/*! @brief How far the configuration of this node can be trusted. */
+enum class configuration_state {
+    /*! @brief A newer one may be in force: the node has started and not yet compared its version with its peers. */
+    unknown,
+    /*! @brief A peer has announced a newer version, which this node does not have yet. */
+    behind,
+    current
+};
+
+/*! @brief Dependencies of `configuration_sync`, all of which must outlive it. */
+struct configuration_sync_context {
+    boost::asio::io_context& io;
+    const core::clock& clock;
+    log_sink& log;
+    record_store& store;
+    const route_table& routes;
+    const cluster::membership_service& membership;
+    cluster::peer_directory& peers;
+};
+
+/*! @brief Options of `configuration_sync`. */
+struct configuration_sync_options {
+    /*! @brief Interval between two rounds of the store and the peers. */
+    std::chrono::milliseconds retry_interval{150};
+    std::chrono::milliseconds peer_timeout{300};
+    /*! @brief Number of peers that are asked in one round. */
+    std::size_t peers_per_round{3u};
+    /*! @brief Time after the start in which the node waits until it has joined the fleet. */
+    std::chrono::milliseconds join_wait_max{1'000};
+    /*! @brief Time after the start in which a node that is behind refuses all requests. */
+    std::chrono::milliseconds catch_up_max{5'000};
+};
+
+/**
+ * @brief Obtains the newest configuration that any node knows of.
+ *
+ * A store that was restored from a copy has an older configuration than the nodes until the operator writes again, so
+ * that a version that a peer has announced is read from the store and from the peers until this node has it. Must only
+ * be used from the thread that runs the `io_context`.
+ */
+class configuration_sync : public std::enable_shared_from_this<configuration_sync> {
+public:
+    /*! @brief Applies a configuration that was read from the store or from a peer. */
+    using apply_function = std::function<void(configuration value, std::string_view source)>;
+
+    configuration_sync(configuration_sync_context context, configuration_sync_options options, apply_function apply);
+
+    /*! @brief Records that a peer has a version, and obtains it unless this node has it or a newer one. */
+    void announce(std::uint64_t version);
+
+    [[nodiscard]] configuration_state state() const;
+
+    /*! @brief Returns the newest announced version; 0 when none was announced. */
+    [[nodiscard]] std::uint64_t announced() const noexcept {
+        return this->announced_version;
+    }
+
+    /*! @brief Returns the configuration of this node for a peer; version 0 when there is none. */
+    [[nodiscard]] wire::config_reply make_reply() const;
+
+private:
+    [[nodiscard]] bool is_behind() const noexcept;
+    [[nodiscard]] boost::asio::awaitable<void> catch_up();
+    [[nodiscard]] boost::asio::awaitable<void> read_store();
+    [[nodiscard]] boost::asio::awaitable<void> ask_peers();
+    void log_behind(std::string_view reason);
+
+    configuration_sync_context context;
+    configuration_sync_options settings;
+    apply_function apply;
+    core::time_point started{};
+    std::uint64_t announced_version{};
+    /*! @brief Announced version of the last log line. */
+    std::uint64_t logged_version{};
+    /*! @brief Position in the list of peers at which the next round begins. */
+    std::size_t next_peer{};
+    bool running{false};
+};
+
+} // namespace lagoonsaddle::edge
+
+#endif
--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <chrono>
 #include <utility>
 #include <vector>
@@ -10,6 +9,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <lagoonsaddle/edge/configuration_sync.hpp>
 #include <lagoonsaddle/edge/dispatch_service.hpp>
 #include <lagoonsaddle/edge/entry_node.hpp>
 #include <lagoonsaddle/edge/forwarder.hpp>
@@ -117,10 +117,9 @@
     /*! @brief Returns the freshness with which this node has to watch the store at present. */
     [[nodiscard]] freshness watch_freshness() const;
     void apply_upstream(const record_change& change);
-    void apply_configuration(const record_change& change);
+    /*! @brief Puts a configuration into force and announces it, unless this node has it or a newer one. */
+    void apply_configuration(configuration value, std::string_view source);
     void apply_lease(const record_change& change);
-    /*! @brief Reads the configuration from the store, because a peer has announced a newer version. */
-    void fetch_configuration(std::uint64_t announced_version);
     /*! @brief Logs that an upstream is leaving or was removed, and announces a leaving one to the peers. */
     void announce_leaving(const std::string& id);
     void start_watcher(record_kind kind, milliseconds timeout, milliseconds delay_after_changes);
@@ -145,6 +144,7 @@
         .crashes_until_quarantine = crashes_until_quarantine, .suspect_duration = suspect_duration}};
     std::shared_ptr<placement_service> placement;
     std::shared_ptr<dispatch_service> dispatch;
+    std::shared_ptr<configuration_sync> configuration_updates;
     forwarder request_forwarder;
     readiness_handler readiness;
     metrics_handler metrics_endpoint;
@@ -158,9 +158,6 @@
     wire::store_news pending_updates{};
     core::time_point started{};
     bool upstreams_known{false};
-    bool fetching_configuration{false};
-    /*! @brief Newest version of the configuration that a peer has announced. */
-    std::uint64_t announced_configuration{};
     bool stopping{false};
 };
 
@@ -201,11 +198,22 @@
                                                       .placement = *this->placement,
                                                       .peers = this->peers},
           this->settings.name)},
+      configuration_updates{std::make_shared<configuration_sync>(configuration_sync_context{.io = this->context.io,
+                                                                     .clock = this->context.clock,
+                                                                     .log = this->log,
+                                                                     .store = this->store,
+                                                                     .routes = this->routes,
+                                                                     .membership = *this->membership,
+                                                                     .peers = this->peers},
+          configuration_sync_options{},
+          [this](
+              configuration value, std::string_view source) { this->apply_configuration(std::move(value), source); })},
       request_forwarder{forwarder_context{.clock = this->context.clock,
           .log = this->log,
           .format = this->context.format,
           .client = this->context.client,
           .routes = this->routes,
+          .configuration = *this->configuration_updates,
           .upstreams = this->upstreams,
           .selector = this->selector,
           .budget = this->budget,
@@ -251,8 +259,8 @@
     }
     this->membership->on_item([this](const fleet::gossip_item& value) {
         this->quarantine.merge(value);
-        if(value.kind == configuration_item_kind && value.version > this->routes.version()) {
-            this->fetch_configuration(value.version);
+        if(value.kind == configuration_item_kind) {
+            this->configuration_updates->announce(value.version);
         }
         if(value.kind == leaving_item_kind && this->upstreams.mark_leaving(value.key, value.version)) {
             this->log.write(log_line{"upstream_leaving"}.add("upstream", value.key).add("source", "peer"));
@@ -302,7 +310,8 @@
 }
 
 bool entry_node::impl::ready() const noexcept {
-    return !this->stopping && this->routes.version() > 0u && this->upstreams_known;
+    return !this->stopping && this->upstreams_known &&
+           this->configuration_updates->state() != configuration_state::unknown;
 }
 
 asio::awaitable<void> entry_node::impl::run_housekeeping() {
@@ -342,9 +351,7 @@
         this->placement->on_version_announced(
             version_record{.model = entry.model, .adapter = entry.adapter, .version = entry.version});
     }
-    if(updates.configuration_version > this->routes.version()) {
-        this->fetch_configuration(updates.configuration_version);
-    }
+    this->configuration_updates->announce(updates.configuration_version);
 }
 
 void entry_node::impl::announce_leaving(const std::string& id) {
@@ -378,42 +385,21 @@
     }
 }
 
-void entry_node::impl::apply_configuration(const record_change& change) {
-    const auto* config = std::get_if<configuration>(&change.value);
-    if(config != nullptr && this->routes.apply(*config)) {
-        this->log.write(log_line{"configuration"}
-                            .add("version", static_cast<std::int64_t>(config->version))
-                            .add("revision", static_cast<std::int64_t>(change.revision))
-                            .add("epoch", static_cast<std::int64_t>(this->store.epoch()))
-                            .add("routes", static_cast<std::int64_t>(config->routes.size())));
-        this->pending_updates.configuration_version = config->version;
-        this->membership->publish(fleet::gossip_item{
-            .kind = std::string{configuration_item_kind}, .key = "newest", .version = config->version});
-    }
-}
-
-void entry_node::impl::fetch_configuration(std::uint64_t announced_version) {
-    this->announced_configuration = std::max(this->announced_configuration, announced_version);
-    if(std::exchange(this->fetching_configuration, true)) {
+void entry_node::impl::apply_configuration(configuration value, std::string_view source) {
+    if(!this->routes.apply(std::move(value))) {
         return;
     }
-    asio::co_spawn(
-        this->context.io,
-        [this]() -> asio::awaitable<void> {
-            const auto page = co_await this->store.list(record_kind::configuration);
-            this->fetching_configuration = false;
-            if(page) {
-                this->on_changes(record_kind::configuration, *page);
-            }
-            if(this->routes.version() < this->announced_configuration) {
-                this->log.write(
-                    log_line{"configuration_behind"}
-                        .add("version", static_cast<std::int64_t>(this->routes.version()))
-                        .add("announced", static_cast<std::int64_t>(this->announced_configuration))
-                        .add("reason", page ? std::string_view{"not_stored"} : core::to_string(page.error().cause)));
-            }
-        },
-        asio::detached);
+    const auto& current = *this->routes.current();
+    this->log.write(log_line{"configuration"}
+                        .add("version", static_cast<std::int64_t>(current.version))
+                        .add("source", source)
+                        .add("epoch", static_cast<std::int64_t>(this->store.epoch()))
+                        .add("routes", static_cast<std::int64_t>(current.routes.size())));
+    this->pending_updates.configuration_version = current.version;
+    this->membership->publish(
+        fleet::gossip_item{.kind = std::string{configuration_item_kind}, .key = "newest", .version = current.version});
+    this->placement->on_upstreams_changed();
+    this->broadcast_updates();
 }
 
 void entry_node::impl::apply_lease(const record_change& change) {
@@ -448,7 +434,9 @@
     for(const auto& change : page.records) {
         switch(kind) {
         case record_kind::configuration:
-            this->apply_configuration(change);
+            if(const auto* value = std::get_if<configuration>(&change.value)) {
+                this->apply_configuration(*value, "store");
+            }
             break;
         case record_kind::upstreams:
             this->apply_upstream(change);
@@ -466,7 +454,7 @@
             break;
         }
     }
-    if(kind == record_kind::upstreams || kind == record_kind::configuration) {
+    if(kind == record_kind::upstreams) {
         this->placement->on_upstreams_changed();
     }
     this->broadcast_updates();
@@ -497,6 +485,8 @@
         if(const auto progress = wire::unpack<wire::request_progress>(message.body)) {
             this->dispatch->apply_progress(peer, *progress);
         }
+    } else if(message.type == wire::message_type::config_get) {
+        responder->send(wire::message_type::config_reply, wire::pack(this->configuration_updates->make_reply()));
     } else if(message.type == wire::message_type::place_request) {
         if(auto request = wire::unpack<wire::place_request>(message.body)) {
             const auto reply = co_await this->dispatch->place_as_holder(std::move(peer), std::move(*request));
@@ -541,7 +531,7 @@
     gauge("lagoonsaddle_edge_configuration_version", "Version of the configuration in force.",
         static_cast<double>(this->routes.version()));
     gauge("lagoonsaddle_edge_configuration_announced", "Newest version of the configuration that a peer has announced.",
-        static_cast<double>(this->announced_configuration));
+        static_cast<double>(this->configuration_updates->announced()));
     gauge("lagoonsaddle_edge_store_epoch", "Epoch of the platform's store; rises when it is restored from a copy.",
         static_cast<double>(this->store.epoch()));
     gauge("lagoonsaddle_edge_upstreams", "Known upstreams.", static_cast<double>(this->upstreams.all().size()));
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -117,18 +117,9 @@
         co_return;
     }
     state.metadata = std::move(*metadata);
-    if(!state.config) {
-        core::error failure{.cause = core::reason::unavailable,
-            .message = "the node has not received a configuration yet",
-            .retry_after = retry_after_overload};
-        co_await this->refuse(state, 503u, std::move(failure));
-        co_return;
-    }
-    state.matched_route =
-        this->context.routes.find(state.request.headers.find("host").value_or(""), state.request.target);
-    if(state.matched_route == nullptr) {
-        core::error failure{.cause = core::reason::not_found, .message = "no route matches the host and path"};
-        co_await this->refuse(state, 404u, std::move(failure));
+    if(auto failure = this->match_route(state)) {
+        const auto status = failure->cause == core::reason::not_found ? 404u : 503u;
+        co_await this->refuse(state, status, std::move(*failure));
         co_return;
     }
     auto limit = state.matched_route->timeout.count() > 0 ? state.matched_route->timeout : default_timeout;
@@ -166,6 +157,26 @@
     }
 }
 
+std::optional<core::error> forwarder::match_route(exchange_state& state) const {
+    const auto known = this->context.configuration.state();
+    if(!state.config || known == configuration_state::unknown) {
+        return core::error{.cause = core::reason::unavailable,
+            .message = "the node does not know the configuration in force yet",
+            .retry_after = retry_after_overload};
+    }
+    state.matched_route =
+        this->context.routes.find(state.request.headers.find("host").value_or(""), state.request.target);
+    if(state.matched_route != nullptr) {
+        return std::nullopt;
+    }
+    if(known == configuration_state::behind) {
+        return core::error{.cause = core::reason::unavailable,
+            .message = "no route matches the host and path, but a newer configuration is in force",
+            .retry_after = retry_after_overload};
+    }
+    return core::error{.cause = core::reason::not_found, .message = "no route matches the host and path"};
+}
+
 asio::awaitable<forwarder::attempt_result> forwarder::attempt(exchange_state& state) {
     const auto now = this->context.clock.now();
     if(state.caller_disconnected) {
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -13,6 +13,7 @@
 #include <lagoonsaddle/cluster/membership_service.hpp>
 #include <lagoonsaddle/cluster/quarantine_service.hpp>
 #include <lagoonsaddle/core/clock.hpp>
+#include <lagoonsaddle/edge/configuration_sync.hpp>
 #include <lagoonsaddle/edge/crash_verifier.hpp>
 #include <lagoonsaddle/edge/decision_log.hpp>
 #include <lagoonsaddle/edge/dispatch_service.hpp>
@@ -35,6 +36,7 @@
     const request_format& format;
     http::client& client;
     route_table& routes;
+    const configuration_sync& configuration;
     upstream_table& upstreams;
     upstream_selector& selector;
     retry_budget& budget;
@@ -74,6 +76,8 @@
 
     /*! @brief Validates a request and runs attempts until one gives the final result. */
     [[nodiscard]] boost::asio::awaitable<void> serve(exchange_state& state);
+    /*! @brief Finds the route of a request; returns why it is refused when there is none. */
+    [[nodiscard]] std::optional<core::error> match_route(exchange_state& state) const;
     [[nodiscard]] boost::asio::awaitable<attempt_result> attempt(exchange_state& state);
     /*! @brief Chooses an upstream; for a request for a model, through the lease holder of the availability zone. */
     [[nodiscard]] boost::asio::awaitable<std::optional<placed_request>> place_request(
--- a/src/lagoonsaddle/edge/types.hpp
+++ b/src/lagoonsaddle/edge/types.hpp
@@ -27,6 +27,8 @@
 struct weighted_service {
     std::string name{};
     std::uint32_t weight{1u};
+
+    [[nodiscard]] friend bool operator==(const weighted_service&, const weighted_service&) = default;
 };
 
 /*! @brief Maps a host and a path prefix to services. */
@@ -44,6 +46,8 @@
     /*! @brief 0 is the most urgent. */
     unsigned priority{};
     std::vector<weighted_service> services{};
+
+    [[nodiscard]] friend bool operator==(const route&, const route&) = default;
 };
 
 /*! @brief A group of interchangeable upstreams. */
@@ -53,6 +57,8 @@
     unsigned adapter_slots{};
     /*! @brief Names of the base models; empty for a service without models. */
     std::vector<std::string> models{};
+
+    [[nodiscard]] friend bool operator==(const service&, const service&) = default;
 };
 
 /*! @brief One version of the operator's configuration. */
@@ -60,6 +66,8 @@
     std::uint64_t version{};
     std::vector<route> routes{};
     std::vector<service> services{};
+
+    [[nodiscard]] friend bool operator==(const configuration&, const configuration&) = default;
 };
 
 /*! @brief A base model that is resident on an upstream. */
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -315,11 +315,22 @@
         dispatch_context{
             .io = node_context, .clock = clock, .upstreams = upstreams, .placement = *placement, .peers = peers},
         "n")};
+    std::shared_ptr<configuration_sync> configuration_updates{
+        std::make_shared<configuration_sync>(configuration_sync_context{.io = node_context,
+                                                 .clock = clock,
+                                                 .log = log,
+                                                 .store = store,
+                                                 .routes = routes,
+                                                 .membership = *membership,
+                                                 .peers = peers},
+            configuration_sync_options{.join_wait_max = 0ms, .catch_up_max = 0ms},
+            [](edge::configuration, std::string_view) {})};
     forwarder request_forwarder{forwarder_context{.clock = clock,
         .log = log,
         .format = format,
         .client = upstream_client,
         .routes = routes,
+        .configuration = *configuration_updates,
         .upstreams = upstreams,
         .selector = selector,
         .budget = budget,
@@ -447,6 +458,20 @@
     CHECK(this->send(std::move(without_id))->status == 400u);
 }
 
+// Guards against a 404 for a route that only a newer configuration has, which this node does not have yet.
+TEST_CASE_FIXTURE(forwarder_fixture, "handle_unknown_path_behind_peers_refuses_as_not_run") {
+    std::promise<void> announced{};
+    asio::post(this->node_context, [&] {
+        this->configuration_updates->announce(9u);
+        announced.set_value();
+    });
+    announced.get_future().get();
+    const auto response = this->send_to_route("added");
+    REQUIRE(response.has_value());
+    CHECK(response->status == 503u);
+    CHECK(this->send_to_route("once")->status == 200u);
+}
+
 // Guards against accepting requests that may not finish before the process stops.
 TEST_CASE_FIXTURE(forwarder_fixture, "handle_shortly_before_exit_refuses_only_long_requests") {
     std::promise<void> stop_begun{};
