edge: a lease ends with the epoch of the store, and tokens of a later epoch exceed earlier ones

Cause: a restored store forgets the latest change of a lease's holder. The next holder takes the last stored token + 1, which the forgotten holder uses already, so that upstreams accept the orders of both. The forgotten holder ignores the restored record because of its lower revision; the holder whom the store names again orders under a token that upstreams refuse. Class of fault: a fencing token whose uniqueness rests on a counter that can go back. Why this works: a token starts at a million times the epoch, and records are ordered by epoch and revision. With a new epoch, no node orders before it has read the record and acquired the lease again by a conditional write. The node that could order when it learned of the restore does so at once; any other waits for it, and for the lease time before its first order, as the forgotten holder may still be alive.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -119,7 +119,7 @@
     void apply_upstream(const record_change& change);
     /*! @brief Puts a configuration into force and announces it, unless this node has it or a newer one. */
     void apply_configuration(configuration value, std::string_view source);
-    void apply_lease(const record_change& change);
+    void apply_lease(const record_change& change, std::uint64_t epoch);
     /*! @brief Logs that an upstream is leaving or was removed, and announces a leaving one to the peers. */
     void announce_leaving(const std::string& id);
     void start_watcher(record_kind kind, milliseconds timeout, milliseconds delay_after_changes);
@@ -402,9 +402,9 @@
     this->broadcast_updates();
 }
 
-void entry_node::impl::apply_lease(const record_change& change) {
+void entry_node::impl::apply_lease(const record_change& change, std::uint64_t epoch) {
     if(const auto* lease = std::get_if<lease_record>(&change.value)) {
-        const stored_lease record{.lease = *lease, .revision = change.revision};
+        const stored_lease record{.lease = *lease, .revision = change.revision, .epoch = epoch};
         this->placement->on_lease_changed(change.name, &record);
     } else {
         this->placement->on_lease_changed(change.name, nullptr);
@@ -450,7 +450,7 @@
             }
             break;
         case record_kind::leases:
-            this->apply_lease(change);
+            this->apply_lease(change, page.epoch);
             break;
         }
     }
--- a/src/lagoonsaddle/edge/lease_tracker.cpp
+++ b/src/lagoonsaddle/edge/lease_tracker.cpp
@@ -1,12 +1,48 @@
+#include <algorithm>
 #include <utility>
 
 #include <lagoonsaddle/edge/lease_tracker.hpp>
 
 namespace lagoonsaddle::edge {
 
-void lease_tracker::observe(const stored_lease& value, core::time_point) {
+namespace {
+
+/*! @brief Number of fencing tokens in one epoch of the store; far above the number of changes of a lease's holder. */
+constexpr std::uint64_t tokens_per_epoch{1'000'000u};
+
+[[nodiscard]] bool is_older(const stored_lease& left, const stored_lease& right) noexcept {
+    return left.epoch != right.epoch ? left.epoch < right.epoch : left.revision < right.revision;
+}
+
+} // namespace
+
+void lease_tracker::observe_epoch(std::uint64_t value, core::time_point now) {
+    if(value <= this->epoch) {
+        return;
+    }
+    if(this->record) {
+        this->held_before_restore = this->may_order_loads(now);
+        this->restored = true;
+        this->record_known = false;
+    }
+    this->epoch = value;
+    this->valid_until = core::time_point::min();
+    this->failed_read_started.reset();
+    this->last_read_started = core::time_point::min();
+    this->holder_absent_since.reset();
+}
+
+bool lease_tracker::is_of_earlier_epoch() const noexcept {
+    return this->record && this->record->lease.fencing_token / tokens_per_epoch < this->epoch;
+}
+
+void lease_tracker::observe(const stored_lease& value, core::time_point now) {
+    this->observe_epoch(value.epoch, now);
+    if(value.epoch < this->epoch) {
+        return;
+    }
     this->record_known = true;
-    if(this->record && value.revision < this->record->revision) {
+    if(this->record && is_older(value, *this->record)) {
         return;
     }
     this->record = value;
@@ -24,7 +60,7 @@
 void lease_tracker::read_succeeded(const stored_lease& value, core::time_point started, core::time_point now) {
     this->failed_read_started.reset();
     this->observe(value, now);
-    if(this->is_holder() && value.revision == this->record->revision) {
+    if(this->is_holder() && value.epoch == this->epoch && value.revision == this->record->revision) {
         this->valid_until = started + this->settings.lease_duration;
     }
 }
@@ -37,6 +73,9 @@
     this->failed_read_started.reset();
     this->record = value;
     this->holder_absent_since.reset();
+    this->held_before_restore = false;
+    // The store may have been restored while it answered the write.
+    this->restored = this->is_of_earlier_epoch();
     this->valid_until = started + this->settings.lease_duration;
     this->last_read_started = started;
     this->orders_allowed_from =
@@ -55,7 +94,7 @@
 }
 
 bool lease_tracker::may_order_loads(core::time_point now) const noexcept {
-    if(!this->is_holder() || now < this->orders_allowed_from) {
+    if(!this->is_holder() || this->is_of_earlier_epoch() || now < this->orders_allowed_from) {
         return false;
     }
     if(now < this->valid_until) {
@@ -68,32 +107,47 @@
 }
 
 lease_action lease_tracker::next_action(holder_status status, std::optional<std::size_t> rank, core::time_point now) {
-    const bool holds_lease = this->is_holder();
+    const bool holds_lease = this->is_holder() && !this->is_of_earlier_epoch();
+    if(this->record_known && !holds_lease) {
+        return this->next_candidate_action(status, rank, now);
+    }
     const bool read_due = this->last_read_started == core::time_point::min() ||
                           now - this->last_read_started >= this->settings.read_interval;
-    if(!this->record_known || holds_lease) {
-        if(!read_due) {
-            return lease_action::none;
-        }
-        this->last_read_started = now;
-        return lease_action::read;
+    if(!read_due) {
+        return lease_action::none;
+    }
+    this->last_read_started = now;
+    return lease_action::read;
+}
+
+lease_action lease_tracker::next_candidate_action(
+    holder_status status, std::optional<std::size_t> rank, core::time_point now) {
+    if(this->held_before_restore) {
+        this->held_before_restore = false;
+        this->holder_ended = true;
+        return lease_action::acquire;
     }
-    const bool held_by_earlier_process = this->record && this->record->lease.holder == this->settings.node_name;
+    // A restored store may name a holder that has lost the lease since, and may lack the current one.
+    const bool holder_uncertain = this->is_of_earlier_epoch() || (this->restored && !this->record);
+    const bool held_by_earlier_process =
+        this->record && !this->is_holder() && this->record->lease.holder == this->settings.node_name;
     const bool held_by_other = this->record && !this->record->lease.holder.empty() && !held_by_earlier_process;
     const bool holder_absent = status == holder_status::ended || status == holder_status::unreachable;
-    if((held_by_other && !holder_absent) || !rank) {
+    if((held_by_other && !holder_absent && !holder_uncertain) || !rank) {
         this->holder_absent_since.reset();
         return lease_action::none;
     }
     if(!this->holder_absent_since) {
         this->holder_absent_since = now;
     }
-    const auto delay = this->settings.holder_absence_min + this->settings.rank_delay * static_cast<int>(*rank);
+    const auto restore_delay = holder_uncertain ? this->settings.restore_delay : core::duration{};
+    const auto delay =
+        this->settings.holder_absence_min + restore_delay + this->settings.rank_delay * static_cast<int>(*rank);
     if(now - *this->holder_absent_since < delay) {
         return lease_action::none;
     }
     this->holder_absent_since = now;
-    this->holder_ended = !held_by_other || status == holder_status::ended;
+    this->holder_ended = !holder_uncertain && (!held_by_other || status == holder_status::ended);
     return lease_action::acquire;
 }
 
@@ -102,7 +156,8 @@
     acquisition.lease.availability_zone = std::move(zone);
     acquisition.lease.holder = this->settings.node_name;
     acquisition.lease.holder_boot_id = this->settings.boot_id;
-    acquisition.lease.fencing_token = this->record ? this->record->lease.fencing_token + 1u : 1u;
+    const auto next_token = this->record ? this->record->lease.fencing_token + 1u : 1u;
+    acquisition.lease.fencing_token = std::max(next_token, this->epoch * tokens_per_epoch + 1u);
     acquisition.revision = this->record ? this->record->revision : 0u;
     return acquisition;
 }
--- a/src/lagoonsaddle/edge/lease_tracker.hpp
+++ b/src/lagoonsaddle/edge/lease_tracker.hpp
@@ -31,6 +31,8 @@
     core::duration rank_delay{std::chrono::milliseconds{600}};
     /*! @brief Time for which the holder must have been absent before the lease is acquired. */
     core::duration holder_absence_min{std::chrono::milliseconds{300}};
+    /*! @brief Additional delay after a restore of the store, in which the last holder acquires the lease again. */
+    core::duration restore_delay{std::chrono::milliseconds{700}};
 };
 
 /*! @brief Status of a lease holder according to the membership. */
@@ -51,13 +53,22 @@
  *
  * The holder of an availability zone's lease orders the loads on the upstreams there. It renews the lease by reading
  * the record, so that renewals cost no writes. A successor acquires the lease by a conditional write with a higher
- * fencing token and waits before its first order. While the store is unreachable, the holder continues only if the
- * upstreams check fencing tokens. Not thread-safe.
+ * fencing token and waits before its first order. Tokens of a later epoch of the store exceed those of an earlier one,
+ * so that a token that a restored store has forgotten is never used again. While the store is unreachable, the holder
+ * continues only if the upstreams check fencing tokens. Not thread-safe.
  */
 class lease_tracker {
 public:
     explicit lease_tracker(lease_options options) : settings{std::move(options)} {}
 
+    /**
+     * @brief Applies the epoch of the store, as of its latest answer.
+     *
+     * A restored store may have forgotten the latest holder of the lease, so that a lease of an earlier epoch is no
+     * longer valid: it is read and acquired again before the next order.
+     */
+    void observe_epoch(std::uint64_t value, core::time_point now);
+
     /*! @brief Applies a record that was received from a list or a watch, unless it is older than the known one. */
     void observe(const stored_lease& record, core::time_point now);
 
@@ -89,7 +100,8 @@
      * on. */
     [[nodiscard]] stored_lease make_acquisition(std::string zone) const;
 
-    /*! @brief Returns whether the known record names this process as the holder. */
+    /*! @brief Returns whether the known record names this process as the holder. After a restore of the store, this
+     * does not permit orders. */
     [[nodiscard]] bool is_holder() const noexcept;
 
     /*! @brief Returns whether this node may order loads at the given time. */
@@ -101,7 +113,16 @@
     }
 
 private:
+    [[nodiscard]] bool is_of_earlier_epoch() const noexcept;
+    [[nodiscard]] lease_action next_candidate_action(
+        holder_status status, std::optional<std::size_t> rank, core::time_point now);
+
     lease_options settings;
+    /*! @brief Highest known epoch of the store. */
+    std::uint64_t epoch{};
+    /*! @brief Whether this node was the holder, and could order loads, when the store was restored. */
+    bool held_before_restore{false};
+    bool restored{false};
     std::optional<stored_lease> record{};
     bool record_known{false};
     /*! @brief Since when the lease has had no live holder. */
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -51,6 +51,7 @@
 lease_tracker& placement_service::lease_of(const std::string& zone) {
     const auto found = this->leases.find(zone);
     if(found != this->leases.end()) {
+        found->second.observe_epoch(this->context.store.epoch(), this->context.clock.now());
         return found->second;
     }
     lease_options options{};
@@ -171,6 +172,7 @@
         const auto action = lease.next_action(this->holder_status_of(lease), this->candidate_rank(zone), now);
         if(action == lease_action::read) {
             const auto record = co_await this->context.store.read_lease(zone);
+            lease.observe_epoch(this->context.store.epoch(), this->context.clock.now());
             if(record) {
                 lease.read_succeeded(*record, now, this->context.clock.now());
             } else if(record.error().cause == core::reason::not_found) {
@@ -182,6 +184,7 @@
             const auto acquisition = lease.make_acquisition(zone);
             const auto previous = lease.current() ? lease.current()->lease.holder : std::string{};
             const auto written = co_await this->context.store.write_lease(acquisition.lease, acquisition.revision);
+            lease.observe_epoch(this->context.store.epoch(), this->context.clock.now());
             if(written) {
                 lease.acquired(*written, now, this->context.clock.now());
                 this->context.log.write(log_line{"lease_acquired"}
--- a/test/edge/lease_tracker_test.cpp
+++ b/test/edge/lease_tracker_test.cpp
@@ -149,13 +149,54 @@
 
 // Guards against orders under a lease that a restored store has forgotten, or has given back to its previous holder.
 TEST_CASE_FIXTURE(lease_tracker_fixture, "may_order_loads_restored_store_waits_for_new_acquisition") {
-    auto own_lease = make_lease("n1", own_boot_id, 5u);
+    auto free_lease = make_lease("", 0u, 4u);
+    free_lease.epoch = 1u;
+    this->tracker.observe(free_lease, this->now);
+    auto own_lease = this->tracker.make_acquisition("z");
+    own_lease.revision = 5u;
     own_lease.epoch = 1u;
-    this->tracker.read_succeeded(own_lease, this->now, this->now);
+    this->tracker.acquired(own_lease, this->now, this->now);
     CHECK(this->tracker.may_order_loads(this->now + 100ms));
     own_lease.epoch = 2u;
     this->tracker.read_succeeded(own_lease, this->now + 200ms, this->now + 200ms);
     CHECK_FALSE(this->tracker.may_order_loads(this->now + 300ms));
 }
 
+// Guards against an interruption of loads after a restore of the store: the last holder knows that no other node
+// orders.
+TEST_CASE_FIXTURE(lease_tracker_fixture, "next_action_last_holder_after_restore_acquires_and_orders_immediately") {
+    this->tracker.read_succeeded(make_lease("n1", own_boot_id, 5u), this->now, this->now);
+    this->tracker.observe_epoch(1u, this->now + 100ms);
+    CHECK_FALSE(this->tracker.may_order_loads(this->now + 100ms));
+    CHECK(this->tracker.next_action(holder_status::live, 2u, this->now + 100ms) == lease_action::read);
+    auto remembered = make_lease("n2", other_boot_id, 4u);
+    remembered.epoch = 1u;
+    this->tracker.read_succeeded(remembered, this->now + 100ms, this->now + 110ms);
+    CHECK(this->tracker.next_action(holder_status::live, 2u, this->now + 200ms) == lease_action::acquire);
+    auto acquisition = this->tracker.make_acquisition("z");
+    CHECK(acquisition.revision == 4u);
+    acquisition.revision = 6u;
+    acquisition.epoch = 1u;
+    this->tracker.acquired(acquisition, this->now + 200ms, this->now + 210ms);
+    CHECK(this->tracker.may_order_loads(this->now + 210ms));
+}
+
+// Guards against orders of a node to which a restored store has given back a lease: the holder that the store has
+// forgotten may still order loads.
+TEST_CASE_FIXTURE(lease_tracker_fixture, "next_action_returned_holder_acquires_again_and_waits_before_first_order") {
+    auto returned = make_lease("n1", own_boot_id, 4u);
+    returned.epoch = 1u;
+    this->tracker.read_succeeded(returned, this->now, this->now);
+    CHECK(this->tracker.is_holder());
+    CHECK_FALSE(this->tracker.may_order_loads(this->now));
+    const auto delay = this->time_to_acquire(holder_status::live, 0u);
+    REQUIRE(delay.has_value());
+    auto acquisition = this->tracker.make_acquisition("z");
+    acquisition.revision = 5u;
+    acquisition.epoch = 1u;
+    const auto acquired_at = this->now + *delay;
+    this->tracker.acquired(acquisition, acquired_at, acquired_at);
+    CHECK_FALSE(this->tracker.may_order_loads(acquired_at + 1'900ms));
+}
+
 } // namespace lagoonsaddle::edge
