edge: wait for a report after unloading an adapter that another node may have unloaded

Cause: an upstream answers an order to unload an adapter that is gone already as done, and does not count it. A node that took over with a report in which the adapter was still being unloaded counts the order. When the previous holder has given one more order meanwhile, both counts are equal although the adapters differ, and the next load is accepted beyond the slots. Class of fault: an answer that does not say whether it had an effect is counted as if it had. Why this works: only for an adapter that an order of this node has loaded is the answer certain. For any other one, and after an answer that shows orders of another node, the next order waits for a report.

--- a/src/lagoonsaddle/edge/slot_scheduler.cpp
+++ b/src/lagoonsaddle/edge/slot_scheduler.cpp
@@ -41,6 +41,7 @@
             }
             if(previous == this->slots.end() && this->pending_loads.contains(key)) {
                 entry.last_used = now;
+                entry.loaded_here = this->pending_loads.at(key).ordered_here;
             }
             reported_slots.emplace(key, entry);
         }
@@ -209,6 +210,22 @@
     return std::nullopt;
 }
 
+void slot_scheduler::complete_unload(const std::string& key) {
+    const auto found = this->slots.find(key);
+    this->state_known = this->state_known && found != this->slots.end() && found->second.loaded_here;
+    ++this->accepted_count;
+    if(found != this->slots.end()) {
+        this->slots.erase(found);
+    }
+}
+
+void slot_scheduler::distrust_state() noexcept {
+    this->state_known = false;
+    for(auto& [key, entry] : this->slots) {
+        entry.loaded_here = false;
+    }
+}
+
 void slot_scheduler::record_outcome(const slot_order& order, order_outcome outcome, core::time_point now) {
     const auto key = adapter_key(order.model, order.adapter);
     this->last_order_answered = now;
@@ -226,7 +243,8 @@
         if(order.load) {
             this->pending_loads[key] = pending_load{.version = order.version.value_or(0u),
                 .ordered_at = now,
-                .confirm_at = now + this->settings.cached_load_time};
+                .confirm_at = now + this->settings.cached_load_time,
+                .ordered_here = true};
         } else if(const auto found = this->slots.find(key); found != this->slots.end()) {
             found->second.unloading = true;
         }
@@ -234,17 +252,19 @@
     case order_outcome::done:
         if(order.load) {
             // The upstream does not count an order to load an adapter that it already holds.
-            this->pending_loads.erase(key);
+            const auto pending = this->pending_loads.extract(key);
             auto& entry = this->slots[key];
+            entry.loaded_here = entry.loaded_here || (!pending.empty() && pending.mapped().ordered_here);
             entry.version = std::max(entry.version, order.version.value_or(0u));
             entry.last_used = now;
         } else {
-            ++this->accepted_count;
-            this->slots.erase(key);
+            this->complete_unload(key);
         }
         break;
     case order_outcome::out_of_turn:
     case order_outcome::stale_token:
+        this->distrust_state();
+        break;
     case order_outcome::misdirected:
     case order_outcome::invalid:
         this->state_known = false;
--- a/src/lagoonsaddle/edge/slot_scheduler.hpp
+++ b/src/lagoonsaddle/edge/slot_scheduler.hpp
@@ -47,7 +47,9 @@
  * one when all slots are in use. Reports are old, so that the scheduler learns of the end of a load by repeating its
  * order, which the upstream answers with `done` once the adapter is resident. Loads in progress count as used slots,
  * so that an upstream is never ordered to hold more adapters than it has slots; adapters in use are never evicted.
- * Not thread-safe.
+ * An upstream does not count the order to unload an adapter that is gone already. Unless this node has loaded the
+ * adapter itself, the next order therefore waits for a report: its count of orders could match that of another node's
+ * order. Not thread-safe.
  */
 class slot_scheduler {
 public:
@@ -137,6 +139,9 @@
         std::uint64_t version{};
         core::time_point last_used{};
         bool unloading{};
+        /*! @brief True when an order of this node has loaded the adapter. Otherwise, another node may be unloading it,
+         * which reports do not show. */
+        bool loaded_here{};
     };
 
     struct demand {
@@ -152,9 +157,14 @@
         core::time_point ordered_at{};
         /*! @brief When to repeat the order to learn whether the load is complete. */
         core::time_point confirm_at{};
+        bool ordered_here{};
     };
 
     [[nodiscard]] std::size_t used_slots() const noexcept;
+    /*! @brief Applies that the upstream no longer holds an adapter that it was ordered to unload. */
+    void complete_unload(const std::string& key);
+    /*! @brief Waits for a report, because another node may order loads on the upstream. */
+    void distrust_state() noexcept;
     [[nodiscard]] std::optional<slot_order> due_confirmation(core::time_point now) const;
     [[nodiscard]] std::optional<std::string> eviction_candidate(core::time_point now) const;
 
