edge: keep what is known of upstreams that left through a restore of the store

A restored store lists upstreams again that had been removed, in the state before; the table forgot an upstream with its entry, and a mark of a peer for an upstream that the store had not listed yet was dropped. Why this works: removed upstreams are remembered for two minutes. One that was leaving stays so; any other one gets no requests until its entry changes or 5 s have passed, in which the store removes entries of upstreams that are gone. Marks of peers are applied to upstreams that become known later.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -120,6 +120,8 @@
     /*! @brief Puts a configuration into force and announces it, unless this node has it or a newer one. */
     void apply_configuration(configuration value, std::string_view source);
     void apply_lease(const record_change& change, std::uint64_t epoch);
+    /*! @brief Marks the upstreams that peers have announced as leaving, which the store may not show. */
+    void apply_announced_leaving();
     /*! @brief Logs that an upstream is leaving or was removed, and announces a leaving one to the peers. */
     void announce_leaving(const std::string& id);
     void start_watcher(record_kind kind, milliseconds timeout, milliseconds delay_after_changes);
@@ -354,6 +356,14 @@
     this->configuration_updates->announce(updates.configuration_version);
 }
 
+void entry_node::impl::apply_announced_leaving() {
+    for(const auto& item : this->membership->items(leaving_item_kind)) {
+        if(this->upstreams.mark_leaving(item.key, item.version)) {
+            this->log.write(log_line{"upstream_leaving"}.add("upstream", item.key).add("source", "peer"));
+        }
+    }
+}
+
 void entry_node::impl::announce_leaving(const std::string& id) {
     const auto* known = this->upstreams.find(id);
     this->log.write(
@@ -383,6 +393,9 @@
     if(is_leaving) {
         this->announce_leaving(change.name);
     }
+    if(entry != nullptr && !known) {
+        this->apply_announced_leaving();
+    }
 }
 
 void entry_node::impl::apply_configuration(configuration value, std::string_view source) {
@@ -422,6 +435,7 @@
         for(const auto& id : this->upstreams.replace(entries, this->context.clock.now())) {
             this->announce_leaving(id);
         }
+        this->apply_announced_leaving();
         this->upstreams_known = true;
         this->placement->on_upstreams_changed();
         this->broadcast_updates();
--- a/src/lagoonsaddle/edge/upstream_table.cpp
+++ b/src/lagoonsaddle/edge/upstream_table.cpp
@@ -8,6 +8,10 @@
 
 /*! @brief Entries that expired during an outage of the store are written again within 2 s after it. */
 constexpr std::chrono::milliseconds expired_entry_grace{2'300};
+/*! @brief The store removes the entry of an upstream after three missed heartbeats, which takes less time. */
+constexpr std::chrono::milliseconds unconfirmed_duration{5'000};
+/*! @brief Longer than the interval between a copy of the store and its restore. */
+constexpr std::chrono::minutes removed_retention{2};
 /*! @brief Time for which an observation takes precedence over the entry, which is rewritten at each heartbeat. */
 constexpr std::chrono::milliseconds observation_lifetime{2'500};
 
@@ -46,9 +50,13 @@
     std::set<std::string_view> present{};
     for(const auto& entry : entries) {
         present.insert(entry.id);
+        const bool listed_again = !this->upstreams.contains(entry.id) && this->find_removed(entry) != nullptr;
         if(this->update(entry, now)) {
             changed.push_back(entry.id);
         }
+        if(listed_again) {
+            this->upstreams.at(entry.id).unconfirmed_until = now + unconfirmed_duration;
+        }
     }
     std::vector<std::string> missing{};
     for(const auto& [id, known] : this->upstreams) {
@@ -65,6 +73,7 @@
 }
 
 bool upstream_table::update(const upstream_entry& entry, core::time_point now) {
+    const auto* removed = this->upstreams.contains(entry.id) ? nullptr : this->find_removed(entry);
     auto& known = this->upstreams[entry.id];
     const bool restarted = known.entry.started_ms != entry.started_ms || known.entry.address != entry.address;
     const bool was_leaving = !restarted && known.entry.leaving;
@@ -75,8 +84,9 @@
     std::erase_if(
         known.observations, [now](const auto& observed) { return now - observed.second.at >= observation_lifetime; });
     known.entry = entry;
-    known.entry.leaving = entry.leaving || was_leaving;
+    known.entry.leaving = entry.leaving || was_leaving || (removed != nullptr && removed->leaving);
     known.missing_until.reset();
+    known.unconfirmed_until.reset();
     return known.entry.leaving && !was_leaving;
 }
 
@@ -89,10 +99,23 @@
         found->second.missing_until = this->grace_until;
         return false;
     }
-    this->upstreams.erase(found);
+    this->erase(found, now);
     return true;
 }
 
+upstream_table::upstream_map::iterator upstream_table::erase(upstream_map::iterator position, core::time_point now) {
+    const auto& entry = position->second.entry;
+    this->removed_upstreams[position->first] =
+        removed_upstream{.started_ms = entry.started_ms, .leaving = entry.leaving, .removed_at = now};
+    return this->upstreams.erase(position);
+}
+
+const upstream_table::removed_upstream* upstream_table::find_removed(const upstream_entry& entry) const {
+    const auto found = this->removed_upstreams.find(entry.id);
+    const bool same = found != this->removed_upstreams.end() && found->second.started_ms == entry.started_ms;
+    return same ? &found->second : nullptr;
+}
+
 bool upstream_table::mark_leaving(std::string_view id, std::uint64_t started_ms) {
     auto* known = this->find(id);
     if(known == nullptr || known->entry.started_ms != started_ms || known->entry.leaving) {
@@ -111,11 +134,16 @@
     for(auto entry = this->upstreams.begin(); entry != this->upstreams.end();) {
         if(entry->second.missing_until && *entry->second.missing_until <= now) {
             removed.push_back(entry->first);
-            entry = this->upstreams.erase(entry);
-        } else {
-            ++entry;
+            entry = this->erase(entry, now);
+            continue;
+        }
+        if(entry->second.unconfirmed_until && *entry->second.unconfirmed_until <= now) {
+            entry->second.unconfirmed_until.reset();
         }
+        ++entry;
     }
+    std::erase_if(this->removed_upstreams,
+        [now](const auto& entry) { return now - entry.second.removed_at >= removed_retention; });
     return removed;
 }
 
@@ -132,7 +160,7 @@
 std::vector<const upstream_state*> upstream_table::accepting_requests(std::string_view service) const {
     std::vector<const upstream_state*> found{};
     for(const auto& [id, known] : this->upstreams) {
-        if(known.entry.service == service && !known.entry.leaving) {
+        if(known.entry.service == service && !known.entry.leaving && !known.unconfirmed_until) {
             found.push_back(&known);
         }
     }
--- a/src/lagoonsaddle/edge/upstream_table.hpp
+++ b/src/lagoonsaddle/edge/upstream_table.hpp
@@ -30,6 +30,9 @@
     core::time_point refused_at{core::time_point::min()};
     /*! @brief Set when the entry is missing after an outage of the store: time at which the upstream is removed. */
     std::optional<core::time_point> missing_until{};
+    /*! @brief Set when the upstream was removed and is listed again unchanged: time from which it is used, unless its
+     * entry changes before. */
+    std::optional<core::time_point> unconfirmed_until{};
 
     /*! @brief State of an adapter as shown by a request or an order, which may be newer than the entry. */
     struct observation {
@@ -54,6 +57,10 @@
 public:
     /**
      * @brief Replaces the upstreams by a complete list from the store.
+     *
+     * A restored store lists entries again that had been removed. Such an upstream gets no requests until its entry
+     * changes, or until the store would have removed the entry of an upstream that is gone.
+     *
      * @param entries Entries of all upstreams.
      * @param now Current time.
      * @return Ids of the upstreams that are now leaving or removed.
@@ -61,7 +68,8 @@
     std::vector<std::string> replace(std::span<const upstream_entry> entries, core::time_point now);
 
     /**
-     * @brief Adds or updates an upstream. Observations and health of an earlier incarnation are discarded.
+     * @brief Adds or updates an upstream. Observations and health of an earlier incarnation are discarded; an
+     * incarnation that was leaving when it was removed is still leaving.
      * @param entry Entry of the upstream.
      * @param now Current time.
      * @return True when the upstream is now leaving and was not before.
@@ -87,7 +95,7 @@
     /*! @brief Starts the grace period for missing entries, because the store has recovered from an outage. */
     void on_store_recovered(core::time_point now) noexcept;
 
-    /*! @brief Removes upstreams whose entries are still missing after the grace period, and returns their ids. */
+    /*! @brief Applies the end of grace periods; returns the ids of the upstreams that are removed. */
     std::vector<std::string> remove_expired(core::time_point now);
 
     [[nodiscard]] upstream_state* find(std::string_view id);
@@ -98,7 +106,7 @@
         return this->upstreams;
     }
 
-    /*! @brief Returns the upstreams of a service that are not leaving. */
+    /*! @brief Returns the upstreams of a service that are neither leaving nor unconfirmed. */
     [[nodiscard]] std::vector<const upstream_state*> accepting_requests(std::string_view service) const;
 
     /*! @brief Records that an adapter was found resident or not resident by a request or an order. */
@@ -109,7 +117,20 @@
     void observe_model_missing(std::string_view id, std::string_view model);
 
 private:
-    std::map<std::string, upstream_state, std::less<>> upstreams{};
+    struct removed_upstream {
+        std::uint64_t started_ms{};
+        bool leaving{};
+        core::time_point removed_at{};
+    };
+
+    using upstream_map = std::map<std::string, upstream_state, std::less<>>;
+
+    upstream_map::iterator erase(upstream_map::iterator position, core::time_point now);
+    /*! @brief Returns the removed incarnation that an entry belongs to, or null. */
+    [[nodiscard]] const removed_upstream* find_removed(const upstream_entry& entry) const;
+
+    upstream_map upstreams{};
+    std::map<std::string, removed_upstream, std::less<>> removed_upstreams{};
     core::time_point grace_until{core::time_point::min()};
 };
 
--- a/test/edge/upstream_table_test.cpp
+++ b/test/edge/upstream_table_test.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -78,4 +79,27 @@
     CHECK_FALSE(this->table.find("u")->adapter_version("m", "b", this->now).has_value());
 }
 
+// Guards against requests to an upstream that has left, whose entry a restored store lists again as it was before.
+TEST_CASE("replace_removed_upstream_listed_again_gets_no_requests") {
+    const core::time_point now{100s};
+    const upstream_entry ready{.id = "u", .service = "s", .started_ms = 7u};
+    auto leaving = ready;
+    leaving.leaving = true;
+    for(const auto& last : {ready, leaving}) {
+        upstream_table table{};
+        table.update(last, now);
+        REQUIRE(table.remove("u", now));
+        table.replace(std::array{ready}, now + 1s);
+        CHECK(table.accepting_requests("s").empty());
+        table.remove_expired(now + 3s);
+        CHECK(table.accepting_requests("s").empty());
+        table.remove_expired(now + 7s);
+        CHECK(table.accepting_requests("s").empty() == last.leaving);
+        auto next_incarnation = ready;
+        next_incarnation.started_ms = 8u;
+        table.update(next_incarnation, now + 8s);
+        CHECK(table.accepting_requests("s").size() == 1u);
+    }
+}
+
 } // namespace lagoonsaddle::edge
