soak: restore the store from a copy

Change: the store is away for up to 1.5 s and comes back from a copy up to 5 s old; operator and upstreams write again up to 3 s later. Engines unload an adapter in use at the end of its runs, and do not count the unload of one that is gone.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -38,7 +38,7 @@
             (self.kill_node, 3), (self.pause_node, 3), (self.stop_node, 3), (self.harm_engine_link, 4),
             (self.harm_store_link, 4), (self.store_down, 1), (self.crash_engine, 3), (self.drain_engine, 2),
             (self.slow_engine, 2), (self.failing_service, 2), (self.new_configuration, 3), (self.new_version, 2),
-            (self.kill_all, 1)]
+            (self.kill_all, 1), (self.restore_store, 3)]
 
     def step(self):
         """Ends the faults that are due and injects one to three faults of one kind."""
@@ -105,6 +105,11 @@
         self.cluster.set_store_unavailable(True)
         self.end_after(self.rng.uniform(0.5, 5.0), lambda: self.cluster.set_store_unavailable(False))
 
+    def restore_store(self):
+        copy = self.cluster.store.copy()
+        outage_s, rewrite_s = self.rng.uniform(0.1, 1.5), self.rng.uniform(0.1, 3.0)
+        self.end_after(self.rng.uniform(0.5, 5.0), lambda: self.cluster.restore_store(copy, outage_s, rewrite_s))
+
     def crash_engine(self):
         engine = self.rng.choice(self.cluster.engines)
         engine.crash(same_id=self.rng.random() < 0.5)
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -195,6 +195,7 @@
         self.init_records(cluster, f"engine-{number}")
         self.number, self.id_suffixes, self.running = number, itertools.count(), True
         self.incarnation, self.state = 1, "ready"
+        self.runs, self.unloading = collections.Counter(), set()
         standin.Engine.__init__(self, cluster.store, f"i-{number}", f"z{number % 2}", slots=3)
         self.event_interval_s = EVENT_INTERVAL_S
 
@@ -233,21 +234,40 @@
         self.order_holders.append((order["holder"], order["fence"]))
         adapter, version = order["adapter"], order.get("version") or self.cluster.versions[order["adapter"]]
         if order["operation"] == "load":
-            if self.resident.get(adapter) == version:
+            if self.resident.get(adapter) == version and adapter not in self.unloading:
                 return 200
             if adapter in self.loading:
                 return 202
+        elif adapter not in self.resident:
+            return 200
+        if adapter in self.unloading:
+            return 202 if order["operation"] == "unload" else 409
         if order.get("precondition") not in (None, self.order_count):
             return 409
         self.order_count += 1
         if order["operation"] == "unload":
-            self.resident.pop(adapter, None)
-            return 200
+            return self.unload(adapter)
         self.loading[adapter] = (time.monotonic() + standin.LOAD_DURATION_S, version)
         if len(set(self.resident) | set(self.loading)) > self.slots:
             self.violations.append("ordered to load more adapters than it has slots")
         return 202
 
+    def unload(self, adapter):
+        """Drops an adapter, at the end of its runs if there are any; returns the HTTP status."""
+        if self.runs[adapter]:
+            self.unloading.add(adapter)
+            return 202
+        self.resident.pop(adapter)
+        return 200
+
+    def end_run(self, adapter):
+        """Ends a run, and drops its adapter if it is the last one of an adapter that is being unloaded."""
+        with self.lock:
+            self.runs[adapter] -= 1
+            if adapter in self.unloading and not self.runs[adapter]:
+                self.unloading.discard(adapter)
+                self.resident.pop(adapter, None)
+
     def respond(self, handler, body):
         if not self.running:
             handler.close_connection = True
@@ -263,12 +283,21 @@
         request_id, adapter = handler.headers["X-Attempt-Id"], handler.headers["X-Model"].partition("/")[2]
         self.record_arrival(request_id)
         with self.lock:
-            can_serve = handler.headers.get("X-Expect-Instance") == self.name and adapter in self.resident
+            can_serve = (handler.headers.get("X-Expect-Instance") == self.name and adapter in self.resident and
+                         adapter not in self.unloading)
             version = self.resident.get(adapter)
+            self.runs[adapter] += 1 if can_serve else 0
         if not can_serve:
             handler.reply(421, headers={"X-Instance-Id": self.name, "X-Attempt-Id": request_id})
             return
         self.record_execution(request_id, handler.path)
+        try:
+            self.send_stream(handler, request_id, adapter, version)
+        finally:
+            self.end_run(adapter)
+
+    def send_stream(self, handler, request_id, adapter, version):
+        """Streams a response; ends it early when the engine stops."""
         incarnation = self.incarnation
         handler.send_response(200)
         for name, value in {"X-Attempt-Id": request_id, "X-Response-Stamp": "s", "Transfer-Encoding": "chunked",
@@ -301,6 +330,7 @@
             return
         with self.lock:
             self.resident, self.loading, self.order_count, self.highest_fence = {}, {}, 0, 0
+            self.unloading.clear()
             self.incarnation += 1
             self.draining_since = None
             self.running = True
@@ -331,7 +361,11 @@
         self.name, self.failure_mode = f"s-{number}", ""
         super().__init__()
         self.start_link()
-        cluster.store.put("servers", self.name, {
+        self.publish_entry()
+
+    def publish_entry(self):
+        number = int(self.name.removeprefix("s-"))
+        self.cluster.store.put("servers", self.name, {
             "service": "plain", "address": self.link.address, "zone": f"z{number % 2}", "slots": 8, "state": "ready",
             "born": 1, "seq": 0})
 
@@ -408,14 +442,21 @@
         services = [{"name": "llm", "maxConnections": 64, "engine": {
             "adapterSlots": 3, "loadsPerS": 2, "models": [{"name": "m", "loadS": 1}]}},
                     {"name": "plain", "maxConnections": 64}]
-        self.store.put("config", "main", {"version": version, "routes": routes, "services": services})
+        self.configuration = {"version": version, "routes": routes, "services": services}
+        self.put_configuration()
         self.configurations.append((time.monotonic(), moving_path))
 
+    def put_configuration(self):
+        self.store.put("config", "main", self.configuration)
+
+    def put_version(self, name, version):
+        self.store.put("versions", f"m.{name}", {"model": "m", "adapter": name, "version": version})
+
     def announce_next_version(self, number):
         """Announces the next version of the adapter with this number."""
         name = f"a{number}"
         self.versions[name] += 1
-        self.store.put("versions", f"m.{name}", {"model": "m", "adapter": name, "version": self.versions[name]})
+        self.put_version(name, self.versions[name])
 
     def set_store_unavailable(self, unavailable):
         """Makes the store answer 503, or serve again."""
@@ -425,6 +466,38 @@
         else:
             self.store_disturbances.end()
 
+    def restore_store(self, copy, outage_s, rewrite_s):
+        """Takes the store away and brings it back from a copy; operator and upstreams write again `rewrite_s` later."""
+        self.store_disturbances.begin()
+        self.store.unavailable = True
+        self.call_later(outage_s, lambda: self.finish_restore(copy))
+        self.call_later(outage_s + rewrite_s, self.write_lost_objects)
+
+    def finish_restore(self, copy):
+        self.store.restore(copy)
+        self.store.unavailable = False
+        self.call_later(ENTRY_EXPIRY_S, self.expire_entries)
+
+    def expire_entries(self):
+        """Removes the entries of upstreams that are gone and that the restored store has again."""
+        alive = {upstream.name for upstream in self.upstreams}
+        for kind, name in list(self.store.objects):
+            if kind == "servers" and name not in alive:
+                self.store.put(kind, name, None)
+
+    def write_lost_objects(self):
+        """Writes what the operator and the upstreams have written last, as the store may have lost it."""
+        for engine in self.engines:
+            if engine.running:
+                engine.publish_entry(engine.state)
+        for service in self.services:
+            service.publish_entry()
+        for name, version in dict(self.versions).items():
+            if version > 1:
+                self.put_version(name, version)
+        self.put_configuration()
+        self.store_disturbances.end()
+
     def call_later(self, seconds, action):
         """Calls `action` after some seconds, unless the cluster is closed before."""
         timer = threading.Timer(seconds, action)
