--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -103,9 +103,12 @@
     [[nodiscard]] bool is_quarantined(const exchange_state& state) const;
     /*! @brief Returns the number of live nodes in the fleet, at least 1. */
     [[nodiscard]] std::size_t live_node_count() const;
+    /*! @brief Applies what an upstream states about itself in a response. */
+    void observe_upstream(const std::string& upstream, const response_metadata& head);
     void log_placement(const exchange_state& state, const selection& choice,
         const tl::expected<placed_request, placement_failure>& placed, core::duration duration);
     void log_send(const exchange_state& state, const std::string& upstream, core::duration remaining);
+    void log_rate_limit(const std::string& upstream, std::optional<double> per_second);
     void log_attempt(const exchange_state& state, const std::string& upstream, std::string_view result,
         core::verdict verdict, std::string_view message);
     /*! @brief Writes the final log line of a request and updates its metrics. */
--- a/test/host_platform/request_format_test.cpp
+++ b/test/host_platform/request_format_test.cpp
@@ -101,4 +101,20 @@
     CHECK_FALSE(this->format.make_refusal(502u, failure, "r1").headers.find("retry-after").has_value());
 }
 
+// Guards against a limit of an upstream that is not read, and against a malformed one that stops all requests.
+TEST_CASE("parse_response_head_rate_limit_is_read_only_as_decimal_number") {
+    const request_format format{};
+    const auto parse = [&format](const char* value) {
+        http::fields headers{};
+        headers.set("Server-Limit", value);
+        return format.parse_response_head(200u, headers).rate_limit;
+    };
+    CHECK(parse(" 2.6") == 2.6);
+    CHECK(parse("0") == 0.0);
+    for(const auto* malformed : {"", "-1", "inf", "nan", "2,6", "1 a"}) {
+        CHECK_FALSE(parse(malformed).has_value());
+    }
+    CHECK_FALSE(format.parse_response_head(200u, {}).rate_limit.has_value());
+}
+
 } // namespace lagoonsaddle::host_platform
