--- a/test/platform_node/entry_node_case.py
+++ b/test/platform_node/entry_node_case.py
@@ -96,7 +96,7 @@
     """Each test starts its own store, engines and nodes."""
 
     def setUp(self):
-        self.ids = (f"{number:016x}" for number in itertools.count(1))
+        self.ids = map("{:016x}".format, itertools.count(1))
         self.store = standin.Store()
         self.engines = [standin.Engine(self.store, f"i-{number}", "z") for number in range(2)]
         self.ports = [free_port() for _ in range(3)]
--- a/test/platform_node/standin.py
+++ b/test/platform_node/standin.py
@@ -156,6 +156,9 @@
         self.order_count, self.highest_fence = 0, 0
         self.executed, self.order_holders, self.violations = [], [], []
         self.event_interval_s = 0.0
+        # Header fields that the engine adds to its responses to requests.
+        self.stated_fields = {}
+        self.arrival_times = []
         super().__init__()
         self.publish_entry("ready")
 
@@ -214,13 +217,15 @@
         request_id = handler.headers["X-Attempt-Id"]
         adapter = handler.headers["X-Model"].partition("/")[2]
         with self.lock:
+            self.arrival_times.append(time.monotonic())
             if handler.headers.get("X-Expect-Instance") != self.name or adapter not in self.resident:
-                return handler.reply(421, headers={"X-Instance-Id": self.name, "X-Attempt-Id": request_id})
+                return handler.reply(421, headers={"X-Instance-Id": self.name, "X-Attempt-Id": request_id,
+                                                   **self.stated_fields})
             self.resident[adapter] += 1
             self.executed.append((request_id, adapter))
         handler.send_response(200)
         for name, value in {"X-Attempt-Id": request_id, "X-Response-Stamp": "s", "Transfer-Encoding": "chunked",
-                            "Content-Type": "text/event-stream"}.items():
+                            "Content-Type": "text/event-stream", **self.stated_fields}.items():
             handler.send_header(name, value)
         handler.end_headers()
         for number in range(1, EVENTS_PER_STREAM + 1):
--- /dev/null
+++ b/test/platform_node/upstream_limit_test.py
@@ -0,0 +1,56 @@
+"""Tests that entry nodes together keep to the limits that engines name."""
+
+import threading
+import time
+import unittest
+
+from entry_node_case import EntryNodeCase
+
+CALLERS_PER_NODE = 3
+# The rule of the platform: from STABILITY_S after the limit was first named, LIMIT_WINDOW_S may bring at most
+# LIMIT_FACTOR times what the limit allows in it, and LIMIT_SLACK requests.
+STABILITY_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+MEASURED_S = 10.0
+
+
+class UpstreamLimitTest(EntryNodeCase):
+    """All engines name a limit, and the callers of all nodes send more than it allows."""
+
+    def test_limit_of_engine_is_kept_by_all_nodes_together(self):
+        """Nodes must not send an engine more together than it takes, nor stop sending."""
+        limit_per_s = 2.0
+        self.start_fleet(4)
+        for engine in self.engines:
+            engine.stated_fields = {"Server-Limit": str(limit_per_s)}
+        named_at = time.monotonic()
+        statuses = self.call_until(named_at + STABILITY_S + MEASURED_S)
+        allowed = LIMIT_FACTOR * limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        for engine in self.engines:
+            arrivals = [at for at in engine.arrival_times if at >= named_at + STABILITY_S]
+            busiest = max(sum(first <= at < first + LIMIT_WINDOW_S for at in arrivals) for first in arrivals)
+            self.assertLessEqual(busiest, allowed, engine.name)
+            self.assertGreaterEqual(len(arrivals), limit_per_s * MEASURED_S / 2, engine.name)
+        self.assertLessEqual(set(statuses), {200, 503})
+
+    def call_until(self, end):
+        """Lets callers of all nodes send requests one after the other until a time; returns the statuses."""
+        statuses = []
+
+        def call(node):
+            while time.monotonic() < end:
+                statuses.append(node.send_request(next(self.ids), "a0")[0])
+                time.sleep(0.02)
+
+        callers = [threading.Thread(target=call, args=(node,)) for node in self.nodes for _ in range(CALLERS_PER_NODE)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        return statuses
+
+
+if __name__ == "__main__":
+    unittest.main(warnings="ignore")
