edge: the nodes share the limit that an upstream names

A busy upstream in need is given more than it takes, and its callers wait or are turned away. Cause: no code read the limit; and a limit for all nodes together cannot be kept by each node for itself. Class of fault: a quota of the whole fleet without an owner or shares. Ruled out: a share of limit / nodes alone, as each node can send one request at any time: nine nodes and a limit of 1 a second allow 13 requests in 4 s, where the rule allows 11. Why this works: as many nodes send to the upstream as its limit is high, plus 3; the same ones for all nodes, by rendezvous hashing. Each waits the number of senders / limit between two requests, so that 4 s bring at most 4 times the limit, and one request of each sender. Nodes count for 10 s after they were last seen alive; a node that has not joined the fleet does not send. A limit, or its end, is announced to all nodes. Requests go to other upstreams meanwhile; when there is none, they are refused at once with the time of the next share.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -140,6 +140,7 @@
     upstream_selector selector;
     retry_budget budget;
     std::shared_ptr<cluster::membership_service> membership;
+    upstream_limits limits;
     cluster::peer_directory peers;
     cluster::quarantine_service quarantine;
     crash_verifier verifier{crash_verifier_options{
@@ -176,6 +177,11 @@
           .window = this->settings.retry_window}},
       membership{std::make_shared<cluster::membership_service>(
           this->context.io, this->context.clock, fleet::membership_settings{})},
+      limits{upstream_limits_context{.clock = this->context.clock,
+                 .log = this->log,
+                 .upstreams = this->upstreams,
+                 .membership = *this->membership},
+          this->settings.name},
       peers{this->context.io, *this->membership,
           wire::hello{.node = this->settings.name, .availability_zone = this->settings.availability_zone}},
       quarantine{policy::crash_quarantine_options{
@@ -217,6 +223,7 @@
           .routes = this->routes,
           .configuration = *this->configuration_updates,
           .upstreams = this->upstreams,
+          .limits = this->limits,
           .selector = this->selector,
           .budget = this->budget,
           .placement = *this->placement,
@@ -261,6 +268,7 @@
     }
     this->membership->on_item([this](const fleet::gossip_item& value) {
         this->quarantine.merge(value);
+        this->limits.apply(value);
         if(value.kind == configuration_item_kind) {
             this->configuration_updates->announce(value.version);
         }
@@ -325,6 +333,7 @@
         for(const auto& id : this->upstreams.remove_expired(this->context.clock.now())) {
             this->log.write(log_line{"upstream_gone"}.add("upstream", id).add("reason", "missing_after_outage"));
         }
+        this->limits.update_nodes();
         this->context.log.flush();
     }
 }
@@ -394,6 +403,7 @@
         this->announce_leaving(change.name);
     }
     if(entry != nullptr && !known) {
+        this->limits.apply_announced();
         this->apply_announced_leaving();
     }
 }
@@ -435,6 +445,7 @@
         for(const auto& id : this->upstreams.replace(entries, this->context.clock.now())) {
             this->announce_leaving(id);
         }
+        this->limits.apply_announced();
         this->apply_announced_leaving();
         this->upstreams_known = true;
         this->placement->on_upstreams_changed();
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -42,6 +42,10 @@
 constexpr milliseconds reuse_within_repeatable{10'000};
 /*! @brief Share of the remaining time after which a repeatable request without a response is sent elsewhere. */
 constexpr double attempt_timeout_share{0.45};
+/*! @brief Bounds of the Retry-After time when the upstreams of a service are at their limits: other nodes may have a
+ * share that is free sooner. */
+constexpr milliseconds limit_retry_after_min{100};
+constexpr milliseconds limit_retry_after_max{1'000};
 /*! @brief Priority 0 of a route on the urgency scale of the upstreams, on which 5 is the default. */
 constexpr unsigned urgency_base{3u};
 constexpr unsigned urgency_max{9u};
@@ -191,6 +195,8 @@
     if(++state.placements > placements_max) {
         co_return attempt_result::fail;
     }
+    auto excluded = state.excluded;
+    const auto limit_wait = this->context.limits.exclude_waiting(state.service, excluded);
     selection_request criteria{.service = state.service,
         .model = state.metadata.model,
         .adapter = state.metadata.adapter,
@@ -198,7 +204,7 @@
         .shared_prefix = state.metadata.shared_prefix,
         .shared_tokens = state.metadata.shared_tokens,
         .version_min = this->oldest_allowed_version(state),
-        .excluded = &state.excluded,
+        .excluded = &excluded,
         .nodes = this->live_node_count()};
     criteria.zone_can_load = [this](std::string_view zone) {
         return this->context.placement.zone_can_load(zone);
@@ -208,9 +214,15 @@
     };
     const auto choice = this->context.selector.choose(this->context.upstreams, criteria, now);
     if(!choice) {
+        if(limit_wait) {
+            state.last_failure = core::error{.cause = core::reason::rate_limited,
+                .verdict = state.verdict,
+                .message = "the upstreams take no more requests at present",
+                .retry_after = std::clamp(to_ms(*limit_wait), limit_retry_after_min, limit_retry_after_max)};
+        }
         co_return attempt_result::fail;
     }
-    const auto placed = co_await this->place_request(state, *choice);
+    const auto placed = co_await this->place_request(state, *choice, excluded);
     if(!placed) {
         co_return attempt_result::retry;
     }
@@ -225,7 +237,7 @@
 }
 
 asio::awaitable<std::optional<placed_request>> forwarder::place_request(
-    exchange_state& state, const selection& choice) {
+    exchange_state& state, const selection& choice, const std::set<std::string>& excluded) {
     if(state.metadata.model.empty()) {
         co_return placed_request{.upstream = choice.upstream};
     }
@@ -239,7 +251,7 @@
         .prompt_tokens = state.metadata.prompt_tokens,
         .shared_prefix = state.metadata.shared_prefix,
         .shared_tokens = state.metadata.shared_tokens,
-        .excluded = {state.excluded.begin(), state.excluded.end()},
+        .excluded = {excluded.begin(), excluded.end()},
         .timeout_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(wait.count(), 1)),
         .lifetime_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(remaining.count(), 1)),
         .may_wait = state.placements > placements_without_wait};
@@ -266,10 +278,12 @@
         state.outcome = "caller_gone";
         co_return attempt_result::finished;
     }
-    if(known == nullptr || known->entry.leaving) {
+    if(known == nullptr || known->entry.leaving || !this->context.limits.may_send(*known)) {
         co_return attempt_result::retry;
     }
     const auto now = this->context.clock.now();
+    known->throttle.record_send(now);
+    state.sent_at = now;
     const auto remaining = to_ms(state.deadline - now);
     forwarding_metadata added{.deadline = remaining, .expected_upstream = upstream};
     added.urgency = std::min(urgency_base + state.matched_route->priority, urgency_max);
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -21,6 +22,7 @@
 #include <lagoonsaddle/edge/protocol.hpp>
 #include <lagoonsaddle/edge/retry_budget.hpp>
 #include <lagoonsaddle/edge/route_table.hpp>
+#include <lagoonsaddle/edge/upstream_limits.hpp>
 #include <lagoonsaddle/edge/upstream_selector.hpp>
 #include <lagoonsaddle/edge/upstream_table.hpp>
 #include <lagoonsaddle/http/client.hpp>
@@ -38,6 +40,7 @@
     route_table& routes;
     const configuration_sync& configuration;
     upstream_table& upstreams;
+    upstream_limits& limits;
     upstream_selector& selector;
     retry_budget& budget;
     placement_service& placement;
@@ -81,7 +84,7 @@
     [[nodiscard]] boost::asio::awaitable<attempt_result> attempt(exchange_state& state);
     /*! @brief Chooses an upstream; for a request for a model, through the lease holder of the availability zone. */
     [[nodiscard]] boost::asio::awaitable<std::optional<placed_request>> place_request(
-        exchange_state& state, const selection& choice);
+        exchange_state& state, const selection& choice, const std::set<std::string>& excluded);
     [[nodiscard]] boost::asio::awaitable<attempt_result> send_request(
         exchange_state& state, const placed_request& placed);
     [[nodiscard]] boost::asio::awaitable<attempt_result> receive_response(
@@ -103,12 +106,9 @@
     [[nodiscard]] bool is_quarantined(const exchange_state& state) const;
     /*! @brief Returns the number of live nodes in the fleet, at least 1. */
     [[nodiscard]] std::size_t live_node_count() const;
-    /*! @brief Applies what an upstream states about itself in a response. */
-    void observe_upstream(const std::string& upstream, const response_metadata& head);
     void log_placement(const exchange_state& state, const selection& choice,
         const tl::expected<placed_request, placement_failure>& placed, core::duration duration);
     void log_send(const exchange_state& state, const std::string& upstream, core::duration remaining);
-    void log_rate_limit(const std::string& upstream, std::optional<double> per_second);
     void log_attempt(const exchange_state& state, const std::string& upstream, std::string_view result,
         core::verdict verdict, std::string_view message);
     /*! @brief Writes the final log line of a request and updates its metrics. */
--- a/src/lagoonsaddle/edge/forwarder_log.cpp
+++ b/src/lagoonsaddle/edge/forwarder_log.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr double percent{100.0};
-constexpr double milli{1'000.0};
 
 } // namespace
 
@@ -50,15 +49,6 @@
     this->context.log.write(line);
 }
 
-void forwarder::log_rate_limit(const std::string& upstream, std::optional<double> per_second) {
-    log_line line{"upstream_limit"};
-    line.add("upstream", upstream).add("outcome", per_second ? "limited" : "unlimited");
-    if(per_second) {
-        line.add("milli_per_second", static_cast<std::int64_t>(*per_second * milli));
-    }
-    this->context.log.write(line);
-}
-
 void forwarder::log_attempt(const exchange_state& state, const std::string& upstream, std::string_view result,
     core::verdict verdict, std::string_view message) {
     this->context.log.write(log_line{"attempt"}
--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -22,19 +22,10 @@
 
 } // namespace
 
-void forwarder::observe_upstream(const std::string& upstream, const response_metadata& head) {
-    auto* known = this->context.upstreams.find(upstream);
-    if(known == nullptr || known->rate_limit == head.rate_limit) {
-        return;
-    }
-    known->rate_limit = head.rate_limit;
-    this->log_rate_limit(upstream, head.rate_limit);
-}
-
 asio::awaitable<forwarder::attempt_result> forwarder::receive_response(
     exchange_state& state, const std::string& upstream, http::response_stream& upstream_response) {
     const auto head = this->context.format.parse_response_head(upstream_response.status(), upstream_response.headers());
-    this->observe_upstream(upstream, head);
+    this->context.limits.observe(upstream, head.rate_limit, state.sent_at);
     if(head.not_run) {
         // Reading the body allows the connection to be reused.
         static_cast<void>(co_await upstream_response.read());
@@ -185,7 +176,8 @@
     auto failure = state.last_failure;
     failure.verdict = state.verdict;
     if(state.verdict == core::verdict::not_run) {
-        failure.retry_after = failure.cause == core::reason::overloaded ? retry_after_overload : retry_after_default;
+        const auto usual = failure.cause == core::reason::overloaded ? retry_after_overload : retry_after_default;
+        failure.retry_after = failure.retry_after.value_or(usual);
         co_await this->refuse(state, 503u, std::move(failure));
         co_return;
     }
--- a/src/lagoonsaddle/edge/internal_exchange.hpp
+++ b/src/lagoonsaddle/edge/internal_exchange.hpp
@@ -62,6 +62,8 @@
     unsigned placements{};
     /*! @brief Sends that reached an upstream. Reset to 0 by a retry that is charged in advance. */
     unsigned sends{};
+    /*! @brief When the request was last sent to an upstream. */
+    core::time_point sent_at{};
     /*! @brief Attempts after which the request has run or may have run. */
     unsigned possible_runs{};
     /*! @brief Whether the request has run, may have run or has not run on any upstream. */
--- a/src/lagoonsaddle/edge/process_metrics.cpp
+++ b/src/lagoonsaddle/edge/process_metrics.cpp
@@ -55,7 +55,7 @@
         [](const upstream_state& known) { return known.entry.leaving ? 1.0 : 0.0; });
     append_gauge(text, "lagoonsaddle_edge_upstream_rate_limit",
         "Requests per second that the upstream takes from all nodes together; -1 without a limit.", upstreams,
-        [](const upstream_state& known) { return known.rate_limit.value_or(-1.0); });
+        [](const upstream_state& known) { return known.throttle.limit().value_or(-1.0); });
     return text;
 }
 
--- a/src/lagoonsaddle/edge/upstream_table.cpp
+++ b/src/lagoonsaddle/edge/upstream_table.cpp
@@ -80,6 +80,7 @@
     if(restarted) {
         known.observations.clear();
         known.health = {};
+        known.throttle = {};
     }
     std::erase_if(
         known.observations, [now](const auto& observed) { return now - observed.second.at >= observation_lifetime; });
--- a/src/lagoonsaddle/edge/upstream_table.hpp
+++ b/src/lagoonsaddle/edge/upstream_table.hpp
@@ -14,6 +14,7 @@
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/edge/types.hpp>
 #include <lagoonsaddle/edge/upstream_health.hpp>
+#include <lagoonsaddle/edge/upstream_throttle.hpp>
 
 namespace lagoonsaddle::edge {
 
@@ -28,8 +29,7 @@
 
     /*! @brief When the upstream last refused a request because it was full. */
     core::time_point refused_at{core::time_point::min()};
-    /*! @brief Requests per second that the upstream takes from all nodes together, as it stated last. */
-    std::optional<double> rate_limit{};
+    upstream_throttle throttle{};
     /*! @brief Set when the entry is missing after an outage of the store: time at which the upstream is removed. */
     std::optional<core::time_point> missing_until{};
     /*! @brief Set when the upstream was removed and is listed again unchanged: time from which it is used, unless its
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -298,6 +298,7 @@
     operate::metrics_registry metrics{clock};
     std::shared_ptr<cluster::membership_service> membership{
         std::make_shared<cluster::membership_service>(node_context, clock, fleet::membership_settings{})};
+    upstream_limits limits{{.clock = clock, .log = log, .upstreams = upstreams, .membership = *membership}, "n"};
     cluster::peer_directory peers{node_context, *membership, wire::hello{.node = "n"}};
     cluster::quarantine_service quarantine{{.crashes_until_quarantine = 3u}, *membership, peers};
     crash_verifier verifier{{}};
@@ -332,6 +333,7 @@
         .routes = routes,
         .configuration = *configuration_updates,
         .upstreams = upstreams,
+        .limits = limits,
         .selector = selector,
         .budget = budget,
         .placement = *placement,
