http: keep the socket while a body is written after its response has ended

Seen: client_answer_before_end_of_body_is_received failed once: the next request got 431. By the same fault, a node could write the rest of one caller's body into the connection of another request. Cause: a long body is written beside the reader. When the peer answers before its end, the stream and its socket are destroyed while the completion of a part of the write is queued; the write then continues on the freed socket, at whose address the next stream may stand. Traced with AddressSanitizer: heap-use-after-free in run_write_some_op after client::stream::~stream in 16 of 1,600 runs of the case beside load. Change: the socket is shared with the write, and a stream that does not return its connection closes it.

--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -140,7 +140,10 @@
 class client::stream final : public response_stream {
 public:
     stream(std::shared_ptr<pool> origin, core::endpoint peer, const asio::any_io_executor& executor)
-        : connections{std::move(origin)}, target{std::move(peer)}, socket{executor}, guard{executor, this->socket} {}
+        : connections{std::move(origin)},
+          target{std::move(peer)},
+          socket{std::make_shared<tcp::socket>(executor)},
+          guard{executor, *this->socket} {}
 
     stream(const stream&) = delete;
     stream& operator=(const stream&) = delete;
@@ -149,7 +152,9 @@
         this->guard.stop();
         this->detach();
         if(this->reusable()) {
-            this->connections->give(this->target, std::move(this->socket), keep_alive_timeout(this->head));
+            this->connections->give(this->target, std::move(*this->socket), keep_alive_timeout(this->head));
+        } else {
+            this->close();
         }
     }
 
@@ -181,7 +186,7 @@
     asio::awaitable<core::result<void>> connect(std::chrono::milliseconds reuse_within) {
         if(reuse_within.count() > 0) {
             if(auto idle = this->connections->take(this->target, reuse_within); idle.has_value()) {
-                this->socket = std::move(*idle);
+                *this->socket = std::move(*idle);
                 this->from_pool = true;
                 co_return core::result<void>{};
             }
@@ -191,9 +196,9 @@
         if(failure) {
             co_return core::fail(core::reason::invalid_argument, "'" + this->target.address + "' is no IP address");
         }
-        expiry connect_guard{co_await asio::this_coro::executor, this->socket};
+        expiry connect_guard{co_await asio::this_coro::executor, *this->socket};
         connect_guard.start(this->connections->options().connect_timeout);
-        co_await this->socket.async_connect(
+        co_await this->socket->async_connect(
             tcp::endpoint{address, this->target.port}, asio::redirect_error(asio::use_awaitable, failure));
         connect_guard.stop();
         if(failure || connect_guard.expired() || this->guard.expired()) {
@@ -202,9 +207,9 @@
                                                       (failure ? failure.message() : std::string{"timed out"}));
         }
         this->connections->count_connection();
-        this->socket.set_option(tcp::no_delay{true}, failure);
+        this->socket->set_option(tcp::no_delay{true}, failure);
         if(const auto timeout = this->connections->options().unacknowledged_timeout; timeout.count() > 0) {
-            this->socket.set_option(user_timeout{static_cast<int>(timeout.count())}, failure);
+            this->socket->set_option(user_timeout{static_cast<int>(timeout.count())}, failure);
         }
         co_return core::result<void>{};
     }
@@ -224,7 +229,7 @@
         boost::system::error_code failure{};
         if(message.body.size() <= small_body) {
             co_await beast_http::async_write(
-                this->socket, *outgoing, asio::redirect_error(asio::use_awaitable, failure));
+                *this->socket, *outgoing, asio::redirect_error(asio::use_awaitable, failure));
         } else {
             this->write_beside(outgoing, co_await asio::this_coro::executor);
         }
@@ -246,7 +251,7 @@
             body.size = piece.size();
             boost::system::error_code failure{};
             co_await beast_http::async_read_some(
-                this->socket, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
+                *this->socket, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
             if(failure && failure != beast_http::error::need_buffer) {
                 co_return this->lost(failure);
             }
@@ -258,7 +263,7 @@
     void close() noexcept override {
         this->failed = true;
         boost::system::error_code ignored{};
-        this->socket.close(ignored);
+        this->socket->close(ignored);
     }
 
 private:
@@ -287,11 +292,13 @@
     void write_beside(const std::shared_ptr<beast_http::request<beast_http::string_body>>& outgoing,
         const asio::any_io_executor& executor) {
         this->writing = std::make_shared<pending_write>();
-        auto finished = [outgoing, state = this->writing](const boost::system::error_code& failure, std::size_t) {
+        // The write may continue after the stream has ended, until it finds the socket closed.
+        auto finished = [outgoing, kept = this->socket, state = this->writing](
+                            const boost::system::error_code& failure, std::size_t) {
             state->done = true;
             state->failed = static_cast<bool>(failure);
         };
-        beast_http::async_write(this->socket, *outgoing, asio::bind_executor(executor, std::move(finished)));
+        beast_http::async_write(*this->socket, *outgoing, asio::bind_executor(executor, std::move(finished)));
     }
 
     /*! @brief Reads response heads until one belongs to the request. */
@@ -301,7 +308,7 @@
             this->parser->body_limit(this->connections->options().body_limit_bytes);
             boost::system::error_code failure{};
             co_await beast_http::async_read_header(
-                this->socket, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
+                *this->socket, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
             if(failure) {
                 co_return failure;
             }
@@ -346,14 +353,14 @@
     }
 
     [[nodiscard]] bool reusable() const {
-        return !this->failed && !this->guard.expired() && this->socket.is_open() && this->parser.has_value() &&
+        return !this->failed && !this->guard.expired() && this->socket->is_open() && this->parser.has_value() &&
                this->parser->is_done() && this->parser->keep_alive() && this->buffer.size() == 0u &&
                (!this->writing || (this->writing->done && !this->writing->failed));
     }
 
     std::shared_ptr<pool> connections;
     core::endpoint target;
-    tcp::socket socket;
+    std::shared_ptr<tcp::socket> socket;
     expiry guard;
     beast::flat_buffer buffer{};
     std::optional<beast_http::response_parser<beast_http::buffer_body>> parser{};
