--- a/src/lagoonsaddle/journal/claim_journal.cpp
+++ b/src/lagoonsaddle/journal/claim_journal.cpp
@@ -103,7 +103,7 @@
     void process_events() {
         std::optional<claim_shard::store_call> call{};
         std::vector<std::pair<completion_handler, result_type>> completed{};
-        std::optional<core::duration> timer_delay{};
+        bool wakeup_changed{false};
         {
             const std::lock_guard lock{this->mutex};
             const auto now = this->clock.now();
@@ -119,15 +119,14 @@
             const auto wakeup = this->stopped ? std::nullopt : this->state.next_wakeup();
             if(wakeup && (!this->timer_expiry || *wakeup < *this->timer_expiry)) {
                 this->timer_expiry = wakeup;
-                timer_delay = *wakeup - now;
+                wakeup_changed = true;
             }
         }
         if(call) {
             asio::co_spawn(this->strand, perform_call(this->shared_from_this(), std::move(*call)), asio::detached);
         }
-        if(timer_delay) {
-            asio::post(
-                this->strand, [self = this->shared_from_this(), delay = *timer_delay] { self->arm_timer(delay); });
+        if(wakeup_changed) {
+            asio::post(this->strand, [self = this->shared_from_this()] { self->arm_timer(); });
         }
         for(auto& [handler, result] : completed) {
             handler(std::move(result));
@@ -150,8 +149,17 @@
         self->process_events();
     }
 
-    /*! @brief Sets the timer. Must run on the strand. */
-    void arm_timer(core::duration delay) {
+    /*! @brief Sets the timer to the earliest wakeup, as calls of several threads may arrive in any order. Must run on the
+     * strand. */
+    void arm_timer() {
+        core::duration delay{};
+        {
+            const std::lock_guard lock{this->mutex};
+            if(!this->timer_expiry) {
+                return;
+            }
+            delay = *this->timer_expiry - this->clock.now();
+        }
         this->timer.expires_after(std::max(delay, core::duration::zero()));
         this->timer.async_wait([weak = this->weak_from_this()](const boost::system::error_code& failure) {
             const auto self = weak.lock();
