edge, platform: an upstream that states that it is leaving gets no new requests

Cause: leaving was known only from the store and from peers. Evidence: test_engine_that_states_leaving_gets_no_requests failed before (4 requests later than the bound) and passes now; test_edge 97 of 97. Why this works: the head of any response marks the upstream, which is announced to all nodes as if the store had shown it; the mark outlasts the entry in the store.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -56,7 +56,7 @@
 
 } // namespace
 
-class entry_node::impl final : public record_observer, public wire::peer_handler {
+class entry_node::impl final : public record_observer, public upstream_observer, public wire::peer_handler {
 public:
     impl(entry_node_context uses, entry_settings values, std::uint64_t boot);
 
@@ -70,6 +70,7 @@
     void on_changes(record_kind kind, const record_page& page) override;
     void on_store_recovered(record_kind kind, core::duration outage) override;
     void on_store_restored(record_kind kind) override;
+    void on_upstream_leaving(const std::string& upstream) override;
     asio::awaitable<void> handle(
         std::string peer, wire::frame message, std::shared_ptr<wire::responder> responder) override;
 
@@ -123,7 +124,7 @@
     /*! @brief Marks the upstreams that peers have announced as leaving, which the store may not show. */
     void apply_announced_leaving();
     /*! @brief Logs that an upstream is leaving or was removed, and announces a leaving one to the peers. */
-    void announce_leaving(const std::string& id);
+    void announce_leaving(const std::string& id, std::string_view source);
     void start_watcher(record_kind kind, milliseconds timeout, milliseconds delay_after_changes);
     /*! @brief Periodically removes expired upstreams and flushes the log. */
     [[nodiscard]] asio::awaitable<void> run_housekeeping();
@@ -224,6 +225,7 @@
           .configuration = *this->configuration_updates,
           .upstreams = this->upstreams,
           .limits = this->limits,
+          .observer = *this,
           .selector = this->selector,
           .budget = this->budget,
           .placement = *this->placement,
@@ -373,10 +375,10 @@
     }
 }
 
-void entry_node::impl::announce_leaving(const std::string& id) {
+void entry_node::impl::announce_leaving(const std::string& id, std::string_view source) {
     const auto* known = this->upstreams.find(id);
     this->log.write(
-        log_line{known != nullptr ? "upstream_leaving" : "upstream_gone"}.add("upstream", id).add("source", "store"));
+        log_line{known != nullptr ? "upstream_leaving" : "upstream_gone"}.add("upstream", id).add("source", source));
     if(known != nullptr) {
         this->pending_updates.leaving.push_back({.upstream = id, .started_ms = known->entry.started_ms});
         this->membership->publish(fleet::gossip_item{.kind = std::string{leaving_item_kind},
@@ -400,7 +402,7 @@
     const bool is_leaving =
         entry != nullptr ? this->upstreams.update(*entry, now) : this->upstreams.remove(change.name, now);
     if(is_leaving) {
-        this->announce_leaving(change.name);
+        this->announce_leaving(change.name, "store");
     }
     if(entry != nullptr && !known) {
         this->limits.apply_announced();
@@ -443,7 +445,7 @@
             }
         }
         for(const auto& id : this->upstreams.replace(entries, this->context.clock.now())) {
-            this->announce_leaving(id);
+            this->announce_leaving(id, "store");
         }
         this->limits.apply_announced();
         this->apply_announced_leaving();
@@ -498,6 +500,11 @@
     }
 }
 
+void entry_node::impl::on_upstream_leaving(const std::string& upstream) {
+    this->announce_leaving(upstream, "response");
+    this->broadcast_updates();
+}
+
 asio::awaitable<void> entry_node::impl::handle(
     std::string peer, wire::frame message, std::shared_ptr<wire::responder> responder) {
     if(message.type == wire::message_type::quarantine_update) {
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -31,6 +31,18 @@
 
 namespace lagoonsaddle::edge {
 
+/*! @brief Receives what the forwarder learns of upstreams from their responses. */
+class upstream_observer {
+public:
+    upstream_observer() = default;
+    upstream_observer(const upstream_observer&) = delete;
+    upstream_observer& operator=(const upstream_observer&) = delete;
+    virtual ~upstream_observer() = default;
+
+    /*! @brief Called when a response states that its upstream is leaving, which was not known before. */
+    virtual void on_upstream_leaving(const std::string& upstream) = 0;
+};
+
 /*! @brief Dependencies of the forwarder, all of which must outlive it. */
 struct forwarder_context {
     const core::clock& clock;
@@ -41,6 +53,7 @@
     const configuration_sync& configuration;
     upstream_table& upstreams;
     upstream_limits& limits;
+    upstream_observer& observer;
     upstream_selector& selector;
     retry_budget& budget;
     placement_service& placement;
@@ -106,6 +119,8 @@
     [[nodiscard]] bool is_quarantined(const exchange_state& state) const;
     /*! @brief Returns the number of live nodes in the fleet, at least 1. */
     [[nodiscard]] std::size_t live_node_count() const;
+    /*! @brief Applies what an upstream states about itself in a response. */
+    void observe_upstream(const exchange_state& state, const std::string& upstream, const response_metadata& head);
     void log_placement(const exchange_state& state, const selection& choice,
         const tl::expected<placed_request, placement_failure>& placed, core::duration duration);
     void log_send(const exchange_state& state, const std::string& upstream, core::duration remaining);
--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -22,10 +22,19 @@
 
 } // namespace
 
+void forwarder::observe_upstream(
+    const exchange_state& state, const std::string& upstream, const response_metadata& head) {
+    this->context.limits.observe(upstream, head.rate_limit, state.sent_at);
+    const auto* known = this->context.upstreams.find(upstream);
+    if(head.leaving && known != nullptr && this->context.upstreams.mark_leaving(upstream, known->entry.started_ms)) {
+        this->context.observer.on_upstream_leaving(upstream);
+    }
+}
+
 asio::awaitable<forwarder::attempt_result> forwarder::receive_response(
     exchange_state& state, const std::string& upstream, http::response_stream& upstream_response) {
     const auto head = this->context.format.parse_response_head(upstream_response.status(), upstream_response.headers());
-    this->context.limits.observe(upstream, head.rate_limit, state.sent_at);
+    this->observe_upstream(state, upstream, head);
     if(head.not_run) {
         // Reading the body allows the connection to be reused.
         static_cast<void>(co_await upstream_response.read());
--- a/src/lagoonsaddle/edge/types.hpp
+++ b/src/lagoonsaddle/edge/types.hpp
@@ -136,6 +136,8 @@
     bool misdirected{};
     /*! @brief True when the body has a content encoding, which the upstream does not apply itself. */
     bool content_encoded{};
+    /*! @brief True when the upstream is leaving and takes no new requests. */
+    bool leaving{};
     /*! @brief Requests per second that the upstream takes from all nodes together; nothing when it names no limit. */
     std::optional<double> rate_limit{};
     /*! @brief Versions of the weights that served the request; empty when not stated. */
--- a/src/lagoonsaddle/journal/claim_journal.cpp
+++ b/src/lagoonsaddle/journal/claim_journal.cpp
@@ -149,8 +149,8 @@
         self->process_events();
     }
 
-    /*! @brief Sets the timer to the earliest wakeup, as calls of several threads may arrive in any order. Must run on the
-     * strand. */
+    /*! @brief Sets the timer to the earliest wakeup, as calls of several threads may arrive in any order. Must run on
+     * the strand. */
     void arm_timer() {
         core::duration delay{};
         {
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -191,6 +191,15 @@
     }
 };
 
+class recording_upstream_observer final : public upstream_observer {
+public:
+    void on_upstream_leaving(const std::string& upstream) override {
+        this->leaving.push_back(upstream);
+    }
+
+    std::vector<std::string> leaving{};
+};
+
 /*! @brief A forwarder with two upstreams, both served by `upstream`; only `node_thread` may access the forwarder. */
 struct forwarder_fixture {
     forwarder_fixture() {
@@ -298,6 +307,7 @@
     operate::metrics_registry metrics{clock};
     std::shared_ptr<cluster::membership_service> membership{
         std::make_shared<cluster::membership_service>(node_context, clock, fleet::membership_settings{})};
+    recording_upstream_observer observer{};
     upstream_limits limits{{.clock = clock, .log = log, .upstreams = upstreams, .membership = *membership}, "n"};
     cluster::peer_directory peers{node_context, *membership, wire::hello{.node = "n"}};
     cluster::quarantine_service quarantine{{.crashes_until_quarantine = 3u}, *membership, peers};
@@ -334,6 +344,7 @@
         .configuration = *configuration_updates,
         .upstreams = upstreams,
         .limits = limits,
+        .observer = observer,
         .selector = selector,
         .budget = budget,
         .placement = *placement,
--- a/test/platform_node/standin.py
+++ b/test/platform_node/standin.py
@@ -158,6 +158,8 @@
         self.event_interval_s = 0.0
         # Header fields that the engine adds to its responses to requests.
         self.stated_fields = {}
+        # Header fields of the refusal of each request; nothing to serve them.
+        self.refusal_fields = None
         self.arrival_times = []
         super().__init__()
         self.publish_entry("ready")
@@ -218,6 +220,9 @@
         adapter = handler.headers["X-Model"].partition("/")[2]
         with self.lock:
             self.arrival_times.append(time.monotonic())
+            if self.refusal_fields is not None:
+                return handler.reply(503, headers={"X-Not-Executed": "1", "X-Attempt-Id": request_id,
+                                                   **self.refusal_fields})
             if handler.headers.get("X-Expect-Instance") != self.name or adapter not in self.resident:
                 return handler.reply(421, headers={"X-Instance-Id": self.name, "X-Attempt-Id": request_id,
                                                    **self.stated_fields})
--- a/test/platform_node/upstream_limit_test.py
+++ b/test/platform_node/upstream_statement_test.py
@@ -1,5 +1,6 @@
-"""Tests that entry nodes together keep to the limits that engines name."""
+"""Tests that entry nodes keep to what engines state in their responses: limits, leaving and the time to return."""
 
+import itertools
 import threading
 import time
 import unittest
@@ -52,5 +53,42 @@
         return statuses
 
 
+class UpstreamStatementTest(EntryNodeCase):
+    """One of two engines asks for fewer requests, or for none."""
+
+    DRAIN_BOUND_S = 2.0
+
+    def call_until_arrival(self, engine):
+        """Sends requests for several adapters until one reaches the engine; returns the time after it was answered."""
+        before = len(engine.arrival_times)
+
+        def arrived():
+            self.nodes[0].send_request(next(self.ids), f"c{len(engine.arrival_times) % 4}")
+            self.nodes[0].send_request(next(self.ids), f"d{next(self.adapter_numbers) % 6}")
+            return len(engine.arrival_times) > before
+
+        self.eventually(arrived, "a request reaches the engine")
+        return time.monotonic()
+
+    def call_for(self, seconds):
+        """Sends requests for several adapters for some seconds."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.nodes[0].send_request(next(self.ids), f"d{next(self.adapter_numbers) % 6}")
+
+    def setUp(self):
+        super().setUp()
+        self.adapter_numbers = itertools.count()
+
+    def test_engine_that_states_leaving_gets_no_requests(self):
+        """An engine that is leaving must get no requests, although the store does not show it."""
+        self.start_fleet(1)
+        leaving = self.engines[0]
+        leaving.stated_fields = {"Server-Leaving": "1"}
+        stated_at = self.call_until_arrival(leaving)
+        self.call_for(self.DRAIN_BOUND_S + 2.0)
+        self.assertEqual([], [at for at in leaving.arrival_times if at > stated_at + self.DRAIN_BOUND_S])
+
+
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
