edge, platform: an upstream that names a time to return gets no requests from this node until then

Cause: the field was not read; only the cost of the upstream rose for about a second. Evidence: test_engine_that_states_time_to_return_gets_no_requests_until_then failed before (3 requests, 2 allowed) and passes now; test_edge 98 of 98, test_host_platform 12 of 12. Why this works: upstream_throttle, which paces the requests of limited upstreams, also holds them back until that time, and the upstream is not a candidate meanwhile.

--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -25,7 +25,10 @@
 void forwarder::observe_upstream(
     const exchange_state& state, const std::string& upstream, const response_metadata& head) {
     this->context.limits.observe(upstream, head.rate_limit, state.sent_at);
-    const auto* known = this->context.upstreams.find(upstream);
+    auto* known = this->context.upstreams.find(upstream);
+    if(known != nullptr && head.retry_after) {
+        known->throttle.hold(this->context.clock.now() + *head.retry_after);
+    }
     if(head.leaving && known != nullptr && this->context.upstreams.mark_leaving(upstream, known->entry.started_ms)) {
         this->context.observer.on_upstream_leaving(upstream);
     }
--- a/src/lagoonsaddle/edge/types.hpp
+++ b/src/lagoonsaddle/edge/types.hpp
@@ -136,6 +136,9 @@
     bool misdirected{};
     /*! @brief True when the body has a content encoding, which the upstream does not apply itself. */
     bool content_encoded{};
+    /*! @brief Time for which an upstream that refused the request wants none from this node; nothing when not stated.
+     */
+    std::optional<std::chrono::milliseconds> retry_after{};
     /*! @brief True when the upstream is leaving and takes no new requests. */
     bool leaving{};
     /*! @brief Requests per second that the upstream takes from all nodes together; nothing when it names no limit. */
--- a/src/lagoonsaddle/edge/upstream_limits.cpp
+++ b/src/lagoonsaddle/edge/upstream_limits.cpp
@@ -76,12 +76,9 @@
 
 std::optional<core::duration> upstream_limits::wait_time(const upstream_state& upstream) const {
     const auto limit = upstream.throttle.limit();
-    if(!limit) {
-        return core::duration{};
-    }
     // A node that does not know the others yet has no share.
-    const auto senders =
-        this->context.membership.joined() ? count_senders(*limit, upstream.entry.id, this->node_name, this->nodes) : 0u;
+    const bool shares = limit && this->context.membership.joined();
+    const auto senders = shares ? count_senders(*limit, upstream.entry.id, this->node_name, this->nodes) : 0u;
     return upstream.throttle.wait_time(senders, this->context.clock.now());
 }
 
--- a/src/lagoonsaddle/edge/upstream_throttle.cpp
+++ b/src/lagoonsaddle/edge/upstream_throttle.cpp
@@ -50,19 +50,20 @@
     return true;
 }
 
+void upstream_throttle::hold(core::time_point until) noexcept {
+    this->held_until = std::max(this->held_until, until);
+}
+
 std::optional<core::duration> upstream_throttle::wait_time(std::size_t senders, core::time_point now) const {
-    if(!this->per_second) {
-        return core::duration{};
-    }
-    if(senders == 0u) {
+    auto next = std::max(this->held_until, now);
+    if(this->per_second && senders == 0u) {
         return std::nullopt;
     }
-    if(!this->last_send) {
-        return core::duration{};
+    if(this->per_second && this->last_send) {
+        const std::chrono::duration<double> interval{static_cast<double>(senders) / *this->per_second};
+        next = std::max(next, *this->last_send + std::chrono::duration_cast<core::duration>(interval));
     }
-    const std::chrono::duration<double> interval{static_cast<double>(senders) / *this->per_second};
-    const auto next = *this->last_send + std::chrono::duration_cast<core::duration>(interval);
-    return std::max(next - now, core::duration{});
+    return next - now;
 }
 
 void upstream_throttle::record_send(core::time_point now) noexcept {
--- a/src/lagoonsaddle/edge/upstream_throttle.hpp
+++ b/src/lagoonsaddle/edge/upstream_throttle.hpp
@@ -46,6 +46,9 @@
     /*! @brief Applies a limit, or its end, that another node has observed. Returns true when the limit has changed. */
     bool assign(std::optional<double> per_second, core::time_point now);
 
+    /*! @brief Holds back the requests of this node until a time, because the upstream has asked for it. */
+    void hold(core::time_point until) noexcept;
+
     /*! @brief Returns the limit in requests per second, or nothing. */
     [[nodiscard]] std::optional<double> limit() const noexcept {
         return this->per_second;
@@ -65,6 +68,7 @@
 private:
     std::optional<double> per_second{};
     core::time_point assigned_at{};
+    core::time_point held_until{core::time_point::min()};
     std::optional<core::time_point> last_send{};
 };
 
--- a/test/edge/upstream_throttle_test.cpp
+++ b/test/edge/upstream_throttle_test.cpp
@@ -79,4 +79,14 @@
     CHECK_FALSE(throttle.limit().has_value());
 }
 
+// Guards against requests to an upstream that wants none for some time, also when it names no limit.
+TEST_CASE("wait_time_held_upstream_is_time_until_end_of_hold") {
+    upstream_throttle throttle{};
+    const core::time_point now{100s};
+    throttle.hold(now + 3s);
+    throttle.hold(now + 1s);
+    CHECK(throttle.wait_time(0u, now + 1s) == 2s);
+    CHECK(throttle.wait_time(0u, now + 3s) == 0s);
+}
+
 } // namespace lagoonsaddle::edge
--- a/test/platform_node/upstream_statement_test.py
+++ b/test/platform_node/upstream_statement_test.py
@@ -57,6 +57,9 @@
     """One of two engines asks for fewer requests, or for none."""
 
     DRAIN_BOUND_S = 2.0
+    HOLD_S = 3.0
+    HOLD_BEGIN_S = 0.5
+    HOLD_REQUESTS_MAX = 2
 
     def call_until_arrival(self, engine):
         """Sends requests for several adapters until one reaches the engine; returns the time after it was answered."""
@@ -89,6 +92,19 @@
         self.call_for(self.DRAIN_BOUND_S + 2.0)
         self.assertEqual([], [at for at in leaving.arrival_times if at > stated_at + self.DRAIN_BOUND_S])
 
+    def test_engine_that_states_time_to_return_gets_no_requests_until_then(self):
+        """An engine that refuses a request for some seconds must not get others meanwhile, but again afterwards."""
+        self.start_fleet(1)
+        refusing = self.engines[0]
+        refusing.refusal_fields = {"Retry-After": str(self.HOLD_S)}
+        self.call_until_arrival(refusing)
+        begin = refusing.arrival_times[-1]
+        self.call_for(self.HOLD_S - 0.2)
+        held = [at for at in refusing.arrival_times if begin + self.HOLD_BEGIN_S < at < begin + self.HOLD_S]
+        self.assertLessEqual(len(held), self.HOLD_REQUESTS_MAX)
+        refusing.refusal_fields = None
+        self.call_until_arrival(refusing)
+
 
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
