soak: upstreams name limits, times to return, and that they leave

Change: upstreams name limits for some seconds, full services name a time to return, and two in five draining engines show it in their responses only. Checked: the limit of all nodes together, the requests before a time to return, and that nothing reaches an engine 2 s after it first stated that it leaves. The check of draining engines is unchanged for those that announce it in the store.

--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -10,6 +10,11 @@
 STABILIZATION_S = 3.0
 CONFIGURATION_BOUND_S = 2.0
 DRAIN_BOUND_S = 2.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+HOLD_TOLERANCE_S = 0.5
+HOLD_REQUESTS_PER_NODE = 2
 LATENESS_TOLERANCE_S = 0.5
 LATE_CALLS_MAX = 8
 LATE_SHARE_MAX = 0.25
@@ -23,7 +28,7 @@
     return (check_at_most_once(cluster, calls) + check_refusals(cluster, calls) + check_response_bodies(calls) +
             check_deadlines(cluster, calls) + check_adapter_slots(cluster) + check_fencing_tokens(cluster) +
             check_route_changes(cluster, calls) + check_draining(cluster) + check_shutdowns(cluster, calls) +
-            check_retry_budget(cluster, calls))
+            check_retry_budget(cluster, calls) + check_limits(cluster) + check_times_to_return(cluster))
 
 
 def executions_by_id(cluster):
@@ -121,7 +126,7 @@
 
 
 def check_draining(cluster):
-    """An engine gets no new requests later than DRAIN_BOUND_S after it announced that it drains."""
+    """An engine gets no new requests later than DRAIN_BOUND_S after it announced, or first stated, that it drains."""
     return [f"drain: {request_id} was executed on {engine.label} {at - since:.1f} s after it began to drain"
             for engine in cluster.engines for at, request_id, _, since in engine.executions
             if since is not None and at > since + DRAIN_BOUND_S and not cluster.disturbed(since - STABILIZATION_S, at)]
@@ -165,6 +170,38 @@
     return violations
 
 
+def check_limits(cluster):
+    """From STABILIZATION_S after an upstream named a limit, all nodes together keep to it."""
+    violations = []
+    for upstream in cluster.upstreams:
+        for period in upstream.limit_periods:
+            begin, end = period.begin + STABILIZATION_S, period.end or time.monotonic()
+            arrivals = [at for at, _ in upstream.arrivals if begin <= at <= end]
+            allowed = LIMIT_FACTOR * period.per_second * LIMIT_WINDOW_S + LIMIT_SLACK
+            for first in arrivals:
+                count = sum(first <= at < first + LIMIT_WINDOW_S for at in arrivals)
+                if count > allowed and not cluster.disturbed(period.begin - STABILIZATION_S, first + LIMIT_WINDOW_S):
+                    violations.append(f"limit: {upstream.label} named {period.per_second} a second and got {count} "
+                                      f"requests in {LIMIT_WINDOW_S} s")
+                    break
+    return violations
+
+
+def check_times_to_return(cluster):
+    """A service that names a time to return gets few requests until then."""
+    violations = []
+    for service in cluster.services:
+        arrivals = sorted(at for at, _ in service.arrivals)
+        for refused_at in service.refusal_times:
+            begin, end = refused_at + HOLD_TOLERANCE_S, refused_at + world.RETRY_AFTER_S
+            count = sum(begin < at < end for at in arrivals)
+            if count > HOLD_REQUESTS_PER_NODE * len(cluster.nodes) and not cluster.disturbed(
+                    refused_at - STABILIZATION_S, end):
+                violations.append(f"time to return: {service.label} got {count} requests before it")
+                break
+    return violations
+
+
 def check_recovery(cluster, limit_s):
     """Sends requests until each node serves each kind; returns a line for each that fails for limit_s."""
     callers = world.Callers.__new__(world.Callers)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -38,7 +38,7 @@
             (self.kill_node, 3), (self.pause_node, 3), (self.stop_node, 3), (self.harm_engine_link, 4),
             (self.harm_store_link, 4), (self.store_down, 1), (self.crash_engine, 3), (self.drain_engine, 2),
             (self.slow_engine, 2), (self.failing_service, 2), (self.new_configuration, 3), (self.new_version, 2),
-            (self.kill_all, 1), (self.restore_store, 3)]
+            (self.kill_all, 1), (self.restore_store, 3), (self.limit_upstream, 3)]
 
     def step(self):
         """Ends the faults that are due and injects one to three faults of one kind."""
@@ -117,9 +117,15 @@
 
     def drain_engine(self):
         engine = self.rng.choice(self.cluster.engines)
-        if engine.drain():
+        if engine.drain(announce=self.rng.random() < 0.6):
             self.end_after(self.rng.uniform(3.0, 5.0), engine.replace)
 
+    def limit_upstream(self):
+        upstream = self.rng.choice(self.cluster.upstreams)
+        upstream.end_limit()
+        upstream.name_limit(self.rng.choice([0.5, 1.0, 2.5, 6.0]))
+        self.end_after(self.rng.uniform(5.0, 12.0), upstream.end_limit)
+
     def slow_engine(self):
         engine = self.rng.choice(self.cluster.engines)
         engine.event_interval_s = 0.3
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -36,6 +36,7 @@
 RETRY_SLACK = 50
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10
+RETRY_AFTER_S = 1.5
 
 
 def free_ports(count):
@@ -168,6 +169,13 @@
         self.store_link.close()
 
 
+class LimitPeriod:
+    """A time in which an upstream names a limit."""
+
+    def __init__(self, per_second):
+        self.per_second, self.begin, self.end = per_second, time.monotonic(), None
+
+
 class Upstream:
     """Base of engines and services: a fault link, and records of arrivals and executions with their times."""
 
@@ -175,6 +183,26 @@
         self.cluster, self.label = cluster, name
         self.arrivals, self.executions = [], []
         self.draining_since = None
+        self.states_leaving = False
+        self.limit_periods = []
+
+    def name_limit(self, per_second):
+        self.limit_periods.append(LimitPeriod(per_second))
+
+    def end_limit(self):
+        for period in self.limit_periods:
+            period.end = period.end or time.monotonic()
+
+    def statements(self):
+        """Returns the header fields in which the upstream states its limit and that it is leaving."""
+        fields = {}
+        if self.limit_periods and not self.limit_periods[-1].end:
+            fields["Server-Limit"] = str(self.limit_periods[-1].per_second)
+        if self.states_leaving and self.draining_since is None:
+            self.draining_since = time.monotonic()
+        if self.draining_since is not None:
+            fields["Server-Leaving"] = "1"
+        return fields
 
     def start_link(self):
         self.link = FaultLink(f"link-{self.label}", f"127.0.0.1:{self.server_address[1]}", self.cluster.directory)
@@ -288,7 +316,7 @@
             version = self.resident.get(adapter)
             self.runs[adapter] += 1 if can_serve else 0
         if not can_serve:
-            handler.reply(421, headers={"X-Instance-Id": self.name, "X-Attempt-Id": request_id})
+            handler.reply(421, headers={"X-Instance-Id": self.name, "X-Attempt-Id": request_id, **self.statements()})
             return
         self.record_execution(request_id, handler.path)
         try:
@@ -301,7 +329,8 @@
         incarnation = self.incarnation
         handler.send_response(200)
         for name, value in {"X-Attempt-Id": request_id, "X-Response-Stamp": "s", "Transfer-Encoding": "chunked",
-                            "X-Weight-Versions": str(version), "Content-Type": "text/event-stream"}.items():
+                            "X-Weight-Versions": str(version), "Content-Type": "text/event-stream",
+                            **self.statements()}.items():
             handler.send_header(name, value)
         handler.end_headers()
         for number in range(1, EVENTS_PER_STREAM + 1):
@@ -333,14 +362,18 @@
             self.unloading.clear()
             self.incarnation += 1
             self.draining_since = None
+            self.states_leaving = False
             self.running = True
         self.link.clear_faults()
         self.publish_entry("ready")
 
-    def drain(self):
-        """Announces that the engine drains; returns whether it was running and ready."""
-        if not self.running or self.state != "ready":
+    def drain(self, announce):
+        """Starts to drain, which only the responses show without `announce`; returns whether it was running and ready."""
+        if not self.running or self.state != "ready" or self.states_leaving:
             return False
+        if not announce:
+            self.states_leaving = True
+            return True
         self.publish_entry("draining")
         self.draining_since = time.monotonic()
         return True
@@ -358,7 +391,7 @@
 
     def __init__(self, cluster, number):
         self.init_records(cluster, f"service-{number}")
-        self.name, self.failure_mode = f"s-{number}", ""
+        self.name, self.failure_mode, self.refusal_times = f"s-{number}", "", []
         super().__init__()
         self.start_link()
         self.publish_entry()
@@ -371,12 +404,13 @@
 
     def respond(self, handler, body):
         request_id = handler.headers["X-Attempt-Id"]
-        id_header = {"X-Attempt-Id": request_id}
+        id_header = {"X-Attempt-Id": request_id, **self.statements()}
         self.record_arrival(request_id)
         if handler.headers.get("X-Expect-Instance") != self.name:
             handler.reply(421, headers={**id_header, "X-Instance-Id": self.name})
         elif self.failure_mode == "full":
-            handler.reply(503, headers={**id_header, "X-Not-Executed": "1"})
+            handler.reply(503, headers={**id_header, "X-Not-Executed": "1", "Retry-After": str(RETRY_AFTER_S)})
+            self.refusal_times.append(time.monotonic())
         else:
             self.record_execution(request_id, handler.path)
             time.sleep(EVENT_INTERVAL_S)
@@ -508,9 +542,11 @@
     def restore(self):
         """Ends the store outage, restarts crashed engines and replaces draining ones."""
         self.store.unavailable = False
+        for upstream in self.upstreams:
+            upstream.end_limit()
         for engine in self.engines:
             engine.restart()
-            if engine.state != "ready":
+            if engine.state != "ready" or engine.states_leaving:
                 engine.replace()
 
     def disturbed(self, begin, end, node=None):
