--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -335,7 +335,7 @@
                                                  .membership = *membership,
                                                  .peers = peers},
             configuration_sync_options{.join_wait_max = 0ms, .catch_up_max = 0ms},
-            [](edge::configuration, std::string_view) {})};
+            [](const edge::configuration&, std::string_view) {})};
     forwarder request_forwarder{forwarder_context{.clock = clock,
         .log = log,
         .format = format,
