edge: wait before the first order also when the answer to an acquisition is lost

The time of the first order was set with the answer to the write. When the answer is lost, the record is read back, and the new holder ordered at once although the previous one may still order. Why this works: the time is set with the decision to acquire, and again with the answer.

--- a/src/lagoonsaddle/edge/lease_tracker.cpp
+++ b/src/lagoonsaddle/edge/lease_tracker.cpp
@@ -78,6 +78,10 @@
     this->restored = this->is_of_earlier_epoch();
     this->valid_until = started + this->settings.lease_duration;
     this->last_read_started = started;
+    this->set_first_order(now);
+}
+
+void lease_tracker::set_first_order(core::time_point now) noexcept {
     this->orders_allowed_from =
         now + (this->holder_ended ? this->settings.ended_takeover_wait : this->settings.unreachable_takeover_wait);
 }
@@ -125,6 +129,7 @@
     if(this->held_before_restore) {
         this->held_before_restore = false;
         this->holder_ended = true;
+        this->set_first_order(now);
         return lease_action::acquire;
     }
     // A restored store may name a holder that has lost the lease since, and may lack the current one.
@@ -148,6 +153,8 @@
     }
     this->holder_absent_since = now;
     this->holder_ended = !holder_uncertain && (!held_by_other || status == holder_status::ended);
+    // Also set here, as the answer to the write may be lost.
+    this->set_first_order(now);
     return lease_action::acquire;
 }
 
--- a/src/lagoonsaddle/edge/lease_tracker.hpp
+++ b/src/lagoonsaddle/edge/lease_tracker.hpp
@@ -114,6 +114,8 @@
 
 private:
     [[nodiscard]] bool is_of_earlier_epoch() const noexcept;
+    /*! @brief Sets the time of the first order under a lease that is acquired now. */
+    void set_first_order(core::time_point now) noexcept;
     [[nodiscard]] lease_action next_candidate_action(
         holder_status status, std::optional<std::size_t> rank, core::time_point now);
 
--- a/test/edge/lease_tracker_test.cpp
+++ b/test/edge/lease_tracker_test.cpp
@@ -79,6 +79,20 @@
     CHECK(this->tracker.may_order_loads(this->now + 3'000ms));
 }
 
+// Guards against orders of two holders when the answer to the write that acquired the lease is lost.
+TEST_CASE_FIXTURE(lease_tracker_fixture, "read_succeeded_after_lost_answer_waits_before_first_order") {
+    this->tracker.observe(make_lease("n2", other_boot_id, 5u), this->now);
+    const auto delay = this->time_to_acquire(holder_status::unreachable, 0u);
+    REQUIRE(delay.has_value());
+    const auto acquired_at = this->now + *delay;
+    auto acquisition = this->tracker.make_acquisition("z");
+    acquisition.revision = 6u;
+    this->tracker.read_succeeded(acquisition, acquired_at, acquired_at);
+    CHECK_FALSE(this->tracker.may_order_loads(acquired_at + 1'900ms));
+    this->tracker.read_succeeded(acquisition, acquired_at + 2'900ms, acquired_at + 2'900ms);
+    CHECK(this->tracker.may_order_loads(acquired_at + 3s));
+}
+
 // Guards against an interruption of loads after a planned stop or a restart of the holder.
 TEST_CASE_FIXTURE(lease_tracker_fixture, "acquired_ended_holder_may_order_immediately") {
     this->tracker.observe(make_lease("n2", other_boot_id, 5u), this->now);
