--- a/src/lagoonsaddle/edge/configuration_sync.cpp
+++ b/src/lagoonsaddle/edge/configuration_sync.cpp
@@ -4,13 +4,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <lagoonsaddle/edge/configuration_codec.hpp>
 #include <lagoonsaddle/edge/configuration_sync.hpp>
+#include <lagoonsaddle/edge/sleep.hpp>
 #include <lagoonsaddle/wire/codec.hpp>
 
 namespace lagoonsaddle::edge {
@@ -54,16 +51,13 @@
 }
 
 asio::awaitable<void> configuration_sync::catch_up() {
-    asio::steady_timer timer{co_await asio::this_coro::executor};
     while(this->is_behind()) {
         co_await this->read_store();
         if(this->is_behind()) {
             co_await this->ask_peers();
         }
         if(this->is_behind()) {
-            timer.expires_after(this->settings.retry_interval);
-            boost::system::error_code ignored{};
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            co_await sleep_for(this->settings.retry_interval);
         }
     }
     this->running = false;
--- a/src/lagoonsaddle/edge/dispatch_service.cpp
+++ b/src/lagoonsaddle/edge/dispatch_service.cpp
@@ -5,12 +5,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <lagoonsaddle/edge/dispatch_service.hpp>
+#include <lagoonsaddle/edge/sleep.hpp>
 #include <lagoonsaddle/wire/codec.hpp>
 
 namespace lagoonsaddle::edge {
@@ -37,12 +34,6 @@
 /*! @brief Maximum number of upstreams that the lease holder tries for one request. */
 constexpr unsigned upstreams_tried_max{2u};
 
-[[nodiscard]] asio::awaitable<void> sleep(milliseconds duration) {
-    asio::steady_timer timer{co_await asio::this_coro::executor, duration};
-    boost::system::error_code ignored{};
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 dispatch_service::dispatch_service(dispatch_context uses, std::string name)
@@ -55,7 +46,7 @@
 
 asio::awaitable<void> dispatch_service::maintain_reservations() {
     while(true) {
-        co_await sleep(maintenance_interval);
+        co_await sleep_for(maintenance_interval);
         this->reservations.remove_expired(this->context.clock.now());
         for(const auto& [key, value] : this->reservations.all()) {
             this->context.placement.record_use(value.upstream, value.model, value.adapter);
@@ -222,7 +213,7 @@
 }
 
 asio::awaitable<void> dispatch_service::send_progress(std::string holder) {
-    co_await sleep(progress_interval);
+    co_await sleep_for(progress_interval);
     const auto found = this->pending_progress.find(holder);
     auto body = wire::pack(found->second);
     this->pending_progress.erase(found);
--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -4,10 +4,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <lagoonsaddle/edge/configuration_sync.hpp>
 #include <lagoonsaddle/edge/dispatch_service.hpp>
@@ -17,6 +13,8 @@
 #include <lagoonsaddle/edge/process_metrics.hpp>
 #include <lagoonsaddle/edge/reader_selection.hpp>
 #include <lagoonsaddle/edge/record_watcher.hpp>
+#include <lagoonsaddle/edge/sleep.hpp>
+#include <lagoonsaddle/edge/status_handlers.hpp>
 #include <lagoonsaddle/http/json.hpp>
 #include <lagoonsaddle/http/server.hpp>
 #include <lagoonsaddle/wire/codec.hpp>
@@ -56,15 +54,18 @@
 
 } // namespace
 
-class entry_node::impl final : public record_observer, public upstream_observer, public wire::peer_handler {
+class entry_node::impl final : public record_observer,
+                               public upstream_observer,
+                               public node_status,
+                               public wire::peer_handler {
 public:
     impl(entry_node_context uses, entry_settings values, std::uint64_t boot);
 
     [[nodiscard]] core::result<void> start();
     [[nodiscard]] asio::awaitable<void> stop();
-    [[nodiscard]] std::string state_json() const;
-    [[nodiscard]] bool ready() const noexcept;
-    [[nodiscard]] std::string metrics_text();
+    [[nodiscard]] std::string state_json() const override;
+    [[nodiscard]] bool ready() const override;
+    [[nodiscard]] std::string metrics_text() override;
 
     void on_list(record_kind kind, const record_page& page) override;
     void on_changes(record_kind kind, const record_page& page) override;
@@ -75,42 +76,6 @@
         std::string peer, wire::frame message, std::shared_ptr<wire::responder> responder) override;
 
 private:
-    /*! @brief Responds to readiness probes of the load balancer. */
-    class readiness_handler final : public http::handler {
-    public:
-        explicit readiness_handler(const impl& owner) : node{owner} {}
-
-        asio::awaitable<void> handle(http::request, http::response_writer& writer) override {
-            http::response response{.status = this->node.ready() ? 200u : 503u};
-            static_cast<void>(co_await writer.send(std::move(response)));
-        }
-
-    private:
-        const impl& node;
-    };
-
-    /*! @brief Serves `/metrics` and `/state`. */
-    class metrics_handler final : public http::handler {
-    public:
-        explicit metrics_handler(impl& owner) : node{owner} {}
-
-        asio::awaitable<void> handle(http::request message, http::response_writer& writer) override {
-            http::response response{.status = 200u};
-            response.headers.set("content-type", "text/plain");
-            if(message.target == "/metrics") {
-                response.body = this->node.metrics_text();
-            } else if(message.target == "/state") {
-                response.body = this->node.state_json();
-            } else {
-                response.status = 404u;
-            }
-            static_cast<void>(co_await writer.send(std::move(response)));
-        }
-
-    private:
-        impl& node;
-    };
-
     /*! @brief Broadcasts the pending updates to the peers, if this node is an exact reader of the store. */
     void broadcast_updates();
     /*! @brief Applies store updates that a peer has broadcast. */
@@ -321,17 +286,14 @@
         this->context.io, [&watcher] { return watcher.run(); }, asio::detached);
 }
 
-bool entry_node::impl::ready() const noexcept {
+bool entry_node::impl::ready() const {
     return !this->stopping && this->upstreams_known &&
            this->configuration_updates->state() != configuration_state::unknown;
 }
 
 asio::awaitable<void> entry_node::impl::run_housekeeping() {
-    asio::steady_timer timer{co_await asio::this_coro::executor};
     while(true) {
-        timer.expires_after(housekeeping_interval);
-        boost::system::error_code ignored{};
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await sleep_for(housekeeping_interval);
         for(const auto& id : this->upstreams.remove_expired(this->context.clock.now())) {
             this->log.write(log_line{"upstream_gone"}.add("upstream", id).add("reason", "missing_after_outage"));
         }
@@ -537,16 +499,13 @@
         this->context.io, [placement = this->placement] { return placement->release_leases(); }, asio::detached);
     const auto limit = this->settings.stop_timeout - exit_margin;
     this->request_forwarder.begin_stop(begin + long_request_refusal_delay, begin + limit);
-    asio::steady_timer timer{co_await asio::this_coro::executor};
     while(true) {
         const auto elapsed = this->context.clock.now() - begin;
         const bool idle = this->caller_server.active_requests() == 0u;
         if((elapsed >= traffic_drain_time && idle) || elapsed >= limit) {
             break;
         }
-        timer.expires_after(stop_poll_interval);
-        boost::system::error_code ignored{};
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await sleep_for(stop_poll_interval);
     }
     this->caller_server.stop_accepting();
     this->membership->stop();
@@ -592,22 +551,9 @@
 }
 
 std::string entry_node::impl::state_json() const {
-    nlohmann::json upstream_states = nlohmann::json::array();
-    const auto now = this->context.clock.now();
-    for(const auto& [id, known] : this->upstreams.all()) {
-        nlohmann::json adapters = nlohmann::json::array();
-        for(const auto& [model, held] : known.entry.models) {
-            for(const auto& [adapter, version] : held.adapters) {
-                adapters.push_back(adapter_key(model, adapter) + '@' + std::to_string(version));
-            }
-        }
-        upstream_states.push_back(
-            {{"id", id}, {"service", known.entry.service}, {"availability_zone", known.entry.availability_zone},
-                {"leaving", known.entry.leaving}, {"in_flight", known.in_flight},
-                {"failure_share", known.health.failure_ratio(now)}, {"adapters", std::move(adapters)}});
-    }
     const nlohmann::json state{{"node", this->settings.name}, {"ready", this->ready()},
-        {"configuration_version", this->routes.version()}, {"upstreams", std::move(upstream_states)},
+        {"configuration_version", this->routes.version()},
+        {"upstreams", upstream_states(this->upstreams, this->context.clock.now())},
         {"active_requests", this->caller_server.active_requests()}};
     return state.dump();
 }
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -4,12 +4,11 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <lagoonsaddle/core/hash.hpp>
 #include <lagoonsaddle/edge/placement_service.hpp>
+#include <lagoonsaddle/edge/sleep.hpp>
 
 namespace lagoonsaddle::edge {
 
@@ -33,12 +32,6 @@
 /*! @brief Expiry of a timer that serves as a condition variable: its waiters are woken by cancelling it. */
 constexpr std::chrono::hours change_timer_expiry{24 * 365};
 
-[[nodiscard]] asio::awaitable<void> sleep_for(std::chrono::milliseconds duration) {
-    asio::steady_timer timer{co_await asio::this_coro::executor, duration};
-    boost::system::error_code ignored{};
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 placement_service::placement_service(placement_context dependencies, placement_options options)
@@ -349,15 +342,13 @@
                 worker->change_timer.cancel();
             }
         });
-        boost::system::error_code ignored{};
-        co_await worker->change_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await wait_for(worker->change_timer);
     }
 }
 
 asio::awaitable<void> placement_service::wait_for_wake(load_worker& worker, core::duration timeout) {
     worker.wake_timer.expires_after(timeout);
-    boost::system::error_code ignored{};
-    co_await worker.wake_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_await wait_for(worker.wake_timer);
 }
 
 asio::awaitable<bool> placement_service::synchronize(const std::string& upstream, load_worker& worker) {
--- a/src/lagoonsaddle/edge/record_watcher.cpp
+++ b/src/lagoonsaddle/edge/record_watcher.cpp
@@ -1,12 +1,8 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <lagoonsaddle/edge/record_watcher.hpp>
+#include <lagoonsaddle/edge/sleep.hpp>
 
 namespace lagoonsaddle::edge {
 
@@ -99,7 +95,6 @@
 }
 
 asio::awaitable<void> record_watcher::run() {
-    asio::steady_timer timer{co_await asio::this_coro::executor};
     while(true) {
         bool is_list{};
         const auto page = co_await this->fetch_records(is_list);
@@ -115,9 +110,7 @@
             co_await this->backoff.wait_after_failure(this->settings.kind);
         }
         if(delay.count() > 0) {
-            timer.expires_after(delay);
-            boost::system::error_code ignored{};
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            co_await sleep_for(delay);
         }
     }
 }
--- a/src/lagoonsaddle/edge/store_backoff.cpp
+++ b/src/lagoonsaddle/edge/store_backoff.cpp
@@ -1,8 +1,6 @@
 #include <algorithm>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
+#include <lagoonsaddle/edge/sleep.hpp>
 #include <lagoonsaddle/edge/store_backoff.hpp>
 
 namespace lagoonsaddle::edge {
@@ -36,8 +34,7 @@
     }
     auto& timer = this->timers.try_emplace(kind, this->context).first->second;
     timer.expires_after(wait);
-    boost::system::error_code ignored{};
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_await wait_for(timer);
 }
 
 void store_backoff::record_success() {
