edge, platform: log prompt parts of lost requests and recorded crashes

Cause: the log could not show which prompt parts a lost request holds, whether its answer had begun, nor which crashes a node knows. Change: request_metadata has the ids of the shared prompt parts; event=attempt has answered and parts; event=crash for each recorded crash, local or from a peer. No decision changes.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -471,6 +471,12 @@
     std::string peer, wire::frame message, std::shared_ptr<wire::responder> responder) {
     if(message.type == wire::message_type::quarantine_update) {
         this->quarantine.merge(message.body);
+        if(const auto update = wire::unpack<wire::quarantine_update>(message.body)) {
+            this->log.write(log_line{"crash"}
+                                .add("digest", update->digest)
+                                .add("crashes", static_cast<std::int64_t>(update->crashes.size()))
+                                .add("source", "peer"));
+        }
     } else if(message.type == wire::message_type::store_news) {
         if(const auto updates = wire::unpack<wire::store_news>(message.body)) {
             this->apply_updates(*updates);
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -373,6 +373,11 @@
             const auto crash = policy::crash_quarantine::crash_id(upstream, std::to_string(known->entry.started_ms));
             const std::array digests{state.digest};
             this->context.quarantine.record_crash(crash, digests);
+            this->context.log.write(log_line{"crash"}
+                                        .add("upstream", upstream)
+                                        .add("id", state.metadata.id)
+                                        .add("digest", state.digest)
+                                        .add("source", "local"));
         }
     }
     state.excluded.insert(upstream);
--- a/src/lagoonsaddle/edge/forwarder_log.cpp
+++ b/src/lagoonsaddle/edge/forwarder_log.cpp
@@ -1,5 +1,7 @@
 // Log lines and metrics of forwarded requests.
 #include <chrono>
+#include <span>
+#include <string>
 
 #include <lagoonsaddle/edge/internal_exchange.hpp>
 
@@ -11,6 +13,15 @@
 
 constexpr double percent{100.0};
 
+/*! @brief Joins texts with commas. */
+[[nodiscard]] std::string join(std::span<const std::string> values) {
+    std::string result{};
+    for(const auto& value : values) {
+        result += (result.empty() ? "" : ",") + value;
+    }
+    return result;
+}
+
 } // namespace
 
 void forwarder::log_placement(const exchange_state& state, const selection& choice,
@@ -57,6 +68,8 @@
                                 .add("attempt", static_cast<std::int64_t>(state.sends))
                                 .add("result", result)
                                 .add("verdict", core::to_string(verdict))
+                                .add("answered", state.head_sent ? 1 : 0)
+                                .add("parts", join(state.metadata.shared_parts))
                                 .add("message", message));
 }
 
--- a/src/lagoonsaddle/edge/types.hpp
+++ b/src/lagoonsaddle/edge/types.hpp
@@ -122,6 +122,8 @@
     std::uint64_t shared_prefix{};
     /*! @brief Length of the shared prefix in tokens. */
     std::uint64_t shared_tokens{};
+    /*! @brief Ids of the prompt parts that other requests may hold as well, without repetition. */
+    std::vector<std::string> shared_parts{};
     std::optional<std::uint64_t> last_event_id{};
 };
 
--- a/test/host_platform/request_format_test.cpp
+++ b/test/host_platform/request_format_test.cpp
@@ -1,4 +1,6 @@
 #include <platform/request_format.hpp>
+#include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -56,6 +58,19 @@
     }
 }
 
+// Guards against crash evidence under the id of a part that no other request holds, and against two ids for one part.
+TEST_CASE_FIXTURE(request_format_fixture, "parse_request_prompt_parts_returns_ids_of_all_but_last_part") {
+    const auto read = [this](std::string_view list) {
+        this->request.headers.set("X-Prompt-Prefix", list);
+        return this->format.parse_request(this->request).value().shared_parts;
+    };
+    CHECK(read("5C1e:800, 91bd:410,5c1e:800,e440:250") == std::vector<std::string>{"5c1e", "91bd"});
+    CHECK(read("5c1e:x,e440:250") == std::vector<std::string>{"5c1e"});
+    CHECK(read("e440:250").empty());
+    CHECK(read(",,").empty());
+    CHECK(read(std::string(1'000u, 'a') + ":1,e440:250").front().size() == 32u);
+}
+
 // Guards against forwarding internal fields that a caller set, and against a caller that has end-to-end fields removed
 // by naming them in `Connection`.
 TEST_CASE_FIXTURE(request_format_fixture, "make_upstream_request_internal_and_connection_fields_are_dropped") {
