--- a/test/platform_node/entry_node_case.py
+++ b/test/platform_node/entry_node_case.py
@@ -78,13 +78,14 @@
         except OSError:
             return False
 
-    def send_request(self, request_id, adapter, path="/a/1"):
-        """Sends a request; returns the status and the body, which is None when the body was truncated."""
+    def send_request(self, request_id, adapter, path="/a/1", parts=()):
+        """Sends a request with a prompt of the given shared parts and one of its own; returns the status and the body,
+        which is None when the body was truncated."""
         connection = http.client.HTTPConnection(self.ip, self.ports[0], timeout=30)
         with contextlib.closing(connection):
-            connection.request("POST", path, b"body", {
+            connection.request("POST", path, request_id.encode(), {
                 "Host": "h", "X-Attempt-Id": request_id, "X-Model": f"m/{adapter}", "X-Token-Count": "10,4",
-                "X-Deadline-Ms": "15000"})
+                "X-Prompt-Prefix": ",".join(f"{part}:5" for part in [*parts, request_id]), "X-Deadline-Ms": "15000"})
             response = connection.getresponse()
             try:
                 return response.status, response.read().decode()
@@ -95,10 +96,13 @@
 class EntryNodeCase(unittest.TestCase):
     """Each test starts its own store, engines and nodes."""
 
+    ENGINE_TYPE = standin.Engine
+    ENGINE_COUNT = 2
+
     def setUp(self):
         self.ids = map("{:016x}".format, itertools.count(1))
         self.store = standin.Store()
-        self.engines = [standin.Engine(self.store, f"i-{number}", "z") for number in range(2)]
+        self.engines = [self.ENGINE_TYPE(self.store, f"i-{number}", "z") for number in range(self.ENGINE_COUNT)]
         self.ports = [free_port() for _ in range(3)]
         self.nodes = []
 
--- a/test/platform_node/standin.py
+++ b/test/platform_node/standin.py
@@ -156,6 +156,8 @@
         self.order_count, self.highest_fence = 0, 0
         self.executed, self.order_holders, self.violations = [], [], []
         self.event_interval_s = 0.0
+        # Changes with each start of the engine.
+        self.incarnation = 1
         # Header fields that the engine adds to its responses to requests.
         self.stated_fields = {}
         # Header fields of the refusal of each request; nothing to serve them.
@@ -167,7 +169,8 @@
     def publish_entry(self, state):
         """Writes the engine's entry to the store."""
         self.store.put("servers", self.name, {
-            "service": "llm", "address": self.address, "zone": self.zone, "slots": 8, "state": state, "born": 1,
+            "service": "llm", "address": self.address, "zone": self.zone, "slots": 8, "state": state,
+            "born": self.incarnation,
             "seq": self.order_count, "models": [{"name": "m", "version": 1, "adapters": sorted(self.resident)}]})
 
     def finish_loads(self):
