edge: a stream that ends inside an event has been broken off

What callers saw: an answer that broke off in an event reached them as a complete success, ended by a last chunk or by its connection alike. Cause: at the end of the body, relay_stream sent the bytes after the last complete event and finished the response. Change: read_events reports such an end as a lost connection, so that the stream is resumed where its route allows it, and otherwise the caller's connection ends without the end of the response. Line breaks after the last event are passed on. relay_stream is split into functions. Evidence: handle_stream_that_ends_inside_event_is_broken_off_or_resumed fails on the old code (2 of its assertions) and passes now.

--- a/src/lagoonsaddle/edge/event_splitter.hpp
+++ b/src/lagoonsaddle/edge/event_splitter.hpp
@@ -18,6 +18,11 @@
      */
     [[nodiscard]] std::string feed(std::string_view bytes);
 
+    /*! @brief Returns whether an event has begun and is not complete. Line breaks between events begin none. */
+    [[nodiscard]] bool is_inside_event() const noexcept {
+        return this->pending.find_first_not_of("\r\n") != std::string::npos;
+    }
+
     /*! @brief Returns and removes the bytes after the last complete event. */
     [[nodiscard]] std::string take_remainder();
 
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -106,6 +106,18 @@
         exchange_state& state, const std::string& upstream, http::response_stream& upstream_response);
     [[nodiscard]] boost::asio::awaitable<attempt_result> relay_stream(
         exchange_state& state, const std::string& upstream, http::response_stream& upstream_response);
+    /**
+     * @brief Reads the next complete events of a stream.
+     * @return The events, an empty text at the proper end of the stream, or an error when it has been broken off.
+     */
+    [[nodiscard]] boost::asio::awaitable<core::result<std::string>> read_events(
+        exchange_state& state, http::response_stream& upstream_response);
+    /*! @brief Sends events to the caller, before the first ones the head; returns false when the caller is gone. */
+    [[nodiscard]] boost::asio::awaitable<bool> write_events(
+        exchange_state& state, const http::response_stream& upstream_response, std::string events);
+    /*! @brief Handles a stream that has been broken off; what the caller has received must not look complete. */
+    [[nodiscard]] attempt_result handle_broken_stream(
+        exchange_state& state, const std::string& upstream, const core::error& failure);
     /*! @brief Handles an attempt without a complete response from the upstream. */
     [[nodiscard]] attempt_result handle_failure(
         exchange_state& state, const std::string& upstream, const core::error& failure);
--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -118,56 +118,82 @@
     co_return attempt_result::finished;
 }
 
-asio::awaitable<forwarder::attempt_result> forwarder::relay_stream(
-    exchange_state& state, const std::string& upstream, http::response_stream& upstream_response) {
-    state.splitter.discard_partial_event();
+asio::awaitable<core::result<std::string>> forwarder::read_events(
+    exchange_state& state, http::response_stream& upstream_response) {
     while(true) {
         auto chunk = co_await upstream_response.read();
         if(!chunk) {
-            const bool resumable = state.matched_route->retry == retry_mode::resumable;
-            const auto next = this->handle_failure(state, upstream, chunk.error());
-            if(next == attempt_result::retry && (resumable || !state.head_sent)) {
-                co_return attempt_result::retry;
-            }
-            if(state.head_sent && !state.caller_disconnected) {
-                state.writer.abort();
-                state.outcome = "broken";
-                co_return attempt_result::finished;
-            }
-            co_return next;
+            co_return tl::make_unexpected(std::move(chunk.error()));
         }
-        const bool ended = chunk->empty();
-        const auto events = ended ? state.splitter.take_remainder() : state.splitter.feed(*chunk);
-        if(events.empty() && !ended) {
+        if(!chunk->empty()) {
+            auto events = state.splitter.feed(*chunk);
+            if(!events.empty()) {
+                co_return events;
+            }
             continue;
         }
-        if(!state.head_sent) {
-            state.head_sent = true;
-            state.status = upstream_response.status();
-            state.first_event_at = this->context.clock.now();
-            this->context.prompt_parts.record_answer(state.metadata.shared_parts);
-            if(const auto sent = co_await state.writer.begin(
-                   upstream_response.status(), this->context.format.caller_headers(upstream_response.headers()));
-                !sent) {
-                upstream_response.close();
-                state.outcome = "caller_gone";
-                co_return attempt_result::finished;
-            }
+        if(state.splitter.is_inside_event()) {
+            upstream_response.close();
+            co_return core::fail(
+                core::reason::connection_lost, core::verdict::may_have_run, "the stream ended inside an event");
         }
-        if(!events.empty()) {
-            const auto arrived = this->context.clock.now();
-            if(state.last_event_at != core::time_point{}) {
-                state.event_gap_max = std::max(state.event_gap_max, arrived - state.last_event_at);
-            }
-            state.last_event_at = arrived;
-            if(const auto sent = co_await state.writer.write(events); !sent) {
-                upstream_response.close();
-                state.outcome = "caller_gone";
-                co_return attempt_result::finished;
-            }
+        co_return state.splitter.take_remainder();
+    }
+}
+
+forwarder::attempt_result forwarder::handle_broken_stream(
+    exchange_state& state, const std::string& upstream, const core::error& failure) {
+    const bool resumable = state.matched_route->retry == retry_mode::resumable;
+    const auto next = this->handle_failure(state, upstream, failure);
+    if(next == attempt_result::retry && (resumable || !state.head_sent)) {
+        return attempt_result::retry;
+    }
+    if(state.head_sent && !state.caller_disconnected) {
+        state.writer.abort();
+        state.outcome = "broken";
+        return attempt_result::finished;
+    }
+    return next;
+}
+
+asio::awaitable<bool> forwarder::write_events(
+    exchange_state& state, const http::response_stream& upstream_response, std::string events) {
+    const auto arrived = this->context.clock.now();
+    if(!state.head_sent) {
+        state.head_sent = true;
+        state.status = upstream_response.status();
+        state.first_event_at = arrived;
+        this->context.prompt_parts.record_answer(state.metadata.shared_parts);
+        auto headers = this->context.format.caller_headers(upstream_response.headers());
+        if(const auto sent = co_await state.writer.begin(state.status, std::move(headers)); !sent) {
+            co_return false;
         }
-        if(ended) {
-            break;
+    }
+    if(events.empty()) {
+        co_return true;
+    }
+    if(state.last_event_at != core::time_point{}) {
+        state.event_gap_max = std::max(state.event_gap_max, arrived - state.last_event_at);
+    }
+    state.last_event_at = arrived;
+    const auto sent = co_await state.writer.write(events);
+    co_return sent.has_value();
+}
+
+asio::awaitable<forwarder::attempt_result> forwarder::relay_stream(
+    exchange_state& state, const std::string& upstream, http::response_stream& upstream_response) {
+    state.splitter.discard_partial_event();
+    bool ended{false};
+    while(!ended) {
+        auto events = co_await this->read_events(state, upstream_response);
+        if(!events) {
+            co_return this->handle_broken_stream(state, upstream, events.error());
+        }
+        ended = events->empty();
+        if(!co_await this->write_events(state, upstream_response, std::move(*events))) {
+            upstream_response.close();
+            state.outcome = "caller_gone";
+            co_return attempt_result::finished;
         }
     }
     if(auto* known = this->context.upstreams.find(upstream)) {
--- a/test/edge/event_splitter_test.cpp
+++ b/test/edge/event_splitter_test.cpp
@@ -16,7 +16,18 @@
     }
     CHECK(events == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
     CHECK(splitter.last_id() == 2u);
+    CHECK(splitter.is_inside_event());
     CHECK(splitter.take_remainder() == "id: 3\ndata: c");
+    CHECK_FALSE(splitter.is_inside_event());
+}
+
+// Guards against taking a stream with line breaks after its last event for one that was broken off.
+TEST_CASE("is_inside_event_line_breaks_after_event_returns_false") {
+    event_splitter splitter{};
+    CHECK(splitter.feed("data: a\n\n") == "data: a\n\n");
+    CHECK(splitter.feed("\r\n").empty());
+    CHECK_FALSE(splitter.is_inside_event());
+    CHECK(splitter.take_remainder() == "\r\n");
 }
 
 // Guards against resuming after an event that was never delivered: a partial event must not set the last id.
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -104,12 +104,17 @@
             co_return;
         } else if(behavior == "unsigned") {
             response.headers.set("id", "another");
-        } else if(behavior == "stream" || behavior == "broken_stream") {
+        } else if(behavior == "stream" || behavior == "broken_stream" || behavior == "half_event") {
             static_cast<void>(co_await writer.begin(200u, response.headers));
             const bool resumed = message.headers.find("resume").value_or("") == "1";
             if(!resumed) {
                 static_cast<void>(co_await writer.write("id: 1\ndata: a\n\n"));
             }
+            if(behavior == "half_event") {
+                static_cast<void>(co_await writer.write("id: 2\nda"));
+                static_cast<void>(co_await writer.finish());
+                co_return;
+            }
             if(behavior == "broken_stream") {
                 static_cast<void>(co_await writer.write("id: 2\nda"));
                 writer.abort();
@@ -454,6 +459,16 @@
     CHECK(this->upstream.received.size() == 1u);
 }
 
+// Guards against passing on a stream as complete that ended inside an event.
+TEST_CASE_FIXTURE(forwarder_fixture, "handle_stream_that_ends_inside_event_is_broken_off_or_resumed") {
+    this->upstream.script = {"half_event"};
+    CHECK_FALSE(this->send_to_route("stream").has_value());
+    this->upstream.script = {"half_event", "stream"};
+    const auto response = this->send_to_route("resumable");
+    REQUIRE(response.has_value());
+    CHECK(response->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 // Guards against upstream work for a caller that has disconnected.
 TEST_CASE_FIXTURE(forwarder_fixture, "handle_caller_disconnects_cancels_upstream_request") {
     this->upstream.script = {"hang"};
