edge, upstream: limit the size of one event of a stream

What callers saw: an upstream that sends bytes without end, and no blank line among them, kept a processor busy until the deadline, so that other callers of the node waited. Cause: event_splitter searched all pending bytes again for each piece and kept them without a limit; sse_parser of the product searched again too. Change: both search only what is new, and a stream is broken off when one event exceeds 256 KiB. A line break after a complete event is now passed on with the events and not only at the end. In heads, refusals and responses of other requests, bytes without end were cut off before as well. The same test file plays what was looked for and not found: a late second copy of an answer reached nobody in 60 requests, a slow stream passed whole, a stream that sends bytes but no event ended with its deadline, an answer that ends with its connection passed whole, a reset one did not look complete.

--- a/src/lagoonsaddle/edge/event_splitter.cpp
+++ b/src/lagoonsaddle/edge/event_splitter.cpp
@@ -5,33 +5,29 @@
 
 namespace lagoonsaddle::edge {
 
-namespace {
-
-/*! @brief Returns the length of the text up to the end of the last complete event, which a blank line ends. */
-[[nodiscard]] std::size_t complete_events_length(std::string_view text) noexcept {
-    for(std::size_t end = text.size(); end >= 2u; --end) {
-        if(text[end - 1u] != '\n') {
-            continue;
-        }
-        if(text[end - 2u] == '\n' || (end >= 4u && text.substr(end - 4u, 4u) == "\r\n\r\n")) {
-            return end;
-        }
-    }
-    return 0u;
-}
-
-} // namespace
-
 std::string event_splitter::feed(std::string_view bytes) {
+    // Lines that are complete are not searched again, so that a long event costs no more than its length.
+    auto searched = this->pending.size();
     this->pending += bytes;
-    const auto length = complete_events_length(this->pending);
+    std::size_t length{};
+    for(auto end = this->pending.find('\n', searched); end != std::string::npos;
+        end = this->pending.find('\n', searched)) {
+        const auto line = std::string_view{this->pending}.substr(this->line_begin, end - this->line_begin);
+        searched = end + 1u;
+        this->line_begin = searched;
+        if(line.empty() || line == "\r") {
+            length = searched;
+        }
+    }
     auto events = this->pending.substr(0u, length);
     this->pending.erase(0u, length);
+    this->line_begin -= length;
     this->update_last_id(events);
     return events;
 }
 
 std::string event_splitter::take_remainder() {
+    this->line_begin = 0u;
     return std::exchange(this->pending, {});
 }
 
--- a/src/lagoonsaddle/edge/event_splitter.hpp
+++ b/src/lagoonsaddle/edge/event_splitter.hpp
@@ -1,6 +1,7 @@
 #ifndef LAGOONSADDLE_EDGE_EVENT_SPLITTER_HPP
 #define LAGOONSADDLE_EDGE_EVENT_SPLITTER_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,6 +19,11 @@
      */
     [[nodiscard]] std::string feed(std::string_view bytes);
 
+    /*! @brief Returns the number of bytes after the last complete event. */
+    [[nodiscard]] std::size_t pending_size() const noexcept {
+        return this->pending.size();
+    }
+
     /*! @brief Returns whether an event has begun and is not complete. Line breaks between events begin none. */
     [[nodiscard]] bool is_inside_event() const noexcept {
         return this->pending.find_first_not_of("\r\n") != std::string::npos;
@@ -34,12 +40,15 @@
     /*! @brief Discards the bytes after the last complete event. */
     void discard_partial_event() noexcept {
         this->pending.clear();
+        this->line_begin = 0u;
     }
 
 private:
     void update_last_id(std::string_view events);
 
     std::string pending{};
+    /*! @brief Position in `pending` of the first line whose end has not arrived. */
+    std::size_t line_begin{};
     std::optional<std::uint64_t> last_event_id{};
 };
 
--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -17,6 +17,8 @@
 
 /*! @brief Maximum size of a body that is buffered because the response is not streamed. */
 constexpr std::size_t buffered_body_limit{8u * 1024u * 1024u};
+/*! @brief Maximum size of one event of a stream; larger ones come from an upstream that sends bytes without end. */
+constexpr std::size_t event_size_limit{256u * 1024u};
 /*! @brief Retry-After time of refusals that are not caused by overload. */
 constexpr milliseconds retry_after_default{200};
 
@@ -130,6 +132,11 @@
             if(!events.empty()) {
                 co_return events;
             }
+            if(state.splitter.pending_size() > event_size_limit) {
+                upstream_response.close();
+                co_return core::fail(
+                    core::reason::protocol_error, core::verdict::may_have_run, "an event of the stream is too large");
+            }
             continue;
         }
         if(state.splitter.is_inside_event()) {
--- a/src/lagoonsaddle/upstream/sse_parser.cpp
+++ b/src/lagoonsaddle/upstream/sse_parser.cpp
@@ -15,10 +15,13 @@
 
 std::optional<std::string> sse_parser::next() {
     while(true) {
-        const auto end = this->buffer.find(event_delimiter);
+        const auto end = this->buffer.find(event_delimiter, this->searched);
         if(end == std::string::npos) {
+            // The delimiter may have begun with the last byte.
+            this->searched = this->buffer.empty() ? 0u : this->buffer.size() - 1u;
             return std::nullopt;
         }
+        this->searched = 0u;
         auto event = this->buffer.substr(0u, end);
         this->buffer.erase(0u, end + event_delimiter.size());
         if(event.starts_with(data_field)) {
--- a/src/lagoonsaddle/upstream/sse_parser.hpp
+++ b/src/lagoonsaddle/upstream/sse_parser.hpp
@@ -1,6 +1,7 @@
 #ifndef LAGOONSADDLE_UPSTREAM_SSE_PARSER_HPP
 #define LAGOONSADDLE_UPSTREAM_SSE_PARSER_HPP
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,6 +25,8 @@
 
 private:
     std::string buffer{};
+    /*! @brief Bytes at the begin of the buffer in which no event ends. */
+    std::size_t searched{};
 };
 
 } // namespace lagoonsaddle::upstream
--- /dev/null
+++ b/test/platform_node/broken_answer_test.py
@@ -0,0 +1,186 @@
+"""Tests entry nodes before engines whose answers have no end, end early, come twice, or come slowly."""
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+import unittest
+
+import standin
+from entry_node_case import COMPLETE_STREAM, EntryNodeCase
+
+EVENT_INTERVAL_S = 0.3
+SECOND_COPY_DELAY_S = 0.03
+TRICKLE_INTERVAL_S = 0.1
+PIECE = b"x" * 16_384
+# Bounds of the platform: memory of a machine, and time beyond a deadline until the answer.
+MEMORY_MB = 260
+LATENESS_S = 0.5
+
+
+class FaultyEngine(standin.Engine):
+    """An engine that answers each request as the method `answer_<mode>` does."""
+
+    def __init__(self, *arguments):
+        self.mode = ""
+        # Bytes of each endless answer that were sent before the node closed the connection.
+        self.endless_bytes = []
+        super().__init__(*arguments)
+
+    def execute(self, handler):
+        with self.lock:
+            is_resident = handler.headers["X-Model"].partition("/")[2] in self.resident
+        if not is_resident or not self.mode:
+            return super().execute(handler)
+        return getattr(self, f"answer_{self.mode}")(handler)
+
+    @staticmethod
+    def head(handler, *fields, status="200 OK"):
+        lines = [f"HTTP/1.1 {status}", f"X-Attempt-Id: {handler.headers['X-Attempt-Id']}", *fields, "", ""]
+        return "\r\n".join(lines).encode()
+
+    @staticmethod
+    def events(handler):
+        adapter = handler.headers["X-Model"].partition("/")[2]
+        return [f"id: {number}\ndata: {adapter}\n\n".encode() for number in range(1, standin.EVENTS_PER_STREAM + 1)]
+
+    def send_unframed(self, handler, pieces, interval_s=0.0):
+        """Sends a response with neither a length nor chunks, which ends with its connection."""
+        handler.wfile.write(self.head(handler, "X-Response-Stamp: s"))
+        for piece in pieces:
+            handler.wfile.write(piece)
+            handler.wfile.flush()
+            time.sleep(interval_s)
+        handler.close_connection = True
+
+    def answer_unframed(self, handler):
+        self.send_unframed(handler, self.events(handler))
+
+    def answer_unframed_half_event(self, handler):
+        self.send_unframed(handler, [*self.events(handler)[:-1], b"id: 4\ndata"])
+
+    def answer_unframed_reset(self, handler):
+        self.send_unframed(handler, self.events(handler)[:-1], 0.05)
+        handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        handler.connection.close()
+
+    def answer_slow(self, handler):
+        self.send_unframed(handler, self.events(handler), EVENT_INTERVAL_S)
+
+    def answer_trickle(self, handler):
+        self.send_unframed(handler, [b"x"] * 1_000, TRICKLE_INTERVAL_S)
+
+    def send_endless(self, handler, head):
+        """Sends bytes until the node closes the connection."""
+        sent = 0
+        handler.close_connection = True
+        with contextlib.suppress(OSError):
+            handler.wfile.write(head)
+            while True:
+                handler.wfile.write(PIECE)
+                sent += len(PIECE)
+        self.endless_bytes.append(sent)
+
+    def answer_endless_event(self, handler):
+        self.send_endless(handler, self.head(handler, "X-Response-Stamp: s") + b"data: ")
+
+    def answer_endless_head(self, handler):
+        self.send_endless(handler, self.head(handler, "X-Response-Stamp: s")[:-2] + b"X-Pad: ")
+
+    def answer_endless_refusal(self, handler):
+        self.send_endless(handler, self.head(handler, "X-Not-Executed: 1", status="503 Busy"))
+
+    def answer_endless_foreign(self, handler):
+        self.send_endless(handler, b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Response-Stamp: s\r\n\r\n")
+
+    def answer_second_copy(self, handler):
+        body = b"".join(self.events(handler))
+        answer = self.head(handler, "X-Response-Stamp: s", f"Content-Length: {len(body)}") + body
+        handler.wfile.write(answer)
+        handler.wfile.flush()
+        threading.Timer(SECOND_COPY_DELAY_S, self.write_late, [handler.connection, answer]).start()
+
+    @staticmethod
+    def write_late(connection, answer):
+        with contextlib.suppress(OSError):
+            connection.sendall(answer)
+
+
+class BrokenAnswerTest(EntryNodeCase):
+    """One node before engines that answer all requests in one faulty way."""
+
+    ENGINE_TYPE = FaultyEngine
+
+    def setUp(self):
+        super().setUp()
+        self.start_fleet(1)
+        self.node = self.nodes[0]
+
+    def call(self, mode, deadline_ms=15000):
+        """Sends a request to engines in a mode; returns its status, body (None when broken off) and duration."""
+        for engine in self.engines:
+            engine.mode = mode
+        begin = time.monotonic()
+        try:
+            status, body = self.node.send_request(next(self.ids), "a0", deadline_ms=deadline_ms)
+        except OSError:
+            status, body = 0, None
+        return status, body, time.monotonic() - begin
+
+    def call_concurrently(self, mode, count, deadline_ms):
+        """Sends requests at once; returns their results."""
+        results = []
+        callers = [threading.Thread(target=lambda: results.append(self.call(mode, deadline_ms))) for _ in range(count)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        return results
+
+    def endless_bytes(self):
+        return [sent for engine in self.engines for sent in engine.endless_bytes]
+
+    def test_answer_that_ends_with_its_connection_is_passed_on_whole(self):
+        """An answer without length and chunks must be passed on whole, and must end for the caller."""
+        self.assertEqual((200, COMPLETE_STREAM.format("a0")), self.call("unframed")[:2])
+
+    def test_answer_that_breaks_off_does_not_look_complete(self):
+        """A stream that ends inside an event, or is reset, must not reach the caller as complete."""
+        for mode in ("unframed_half_event", "unframed_reset"):
+            self.assertIsNone(self.call(mode)[1], mode)
+
+    def test_slow_stream_passes_and_stalled_one_ends(self):
+        """A slow but sound stream must not be cut; one that sends bytes but no event must end with its deadline."""
+        self.assertEqual((200, COMPLETE_STREAM.format("a0")), self.call("slow")[:2])
+        status, _, duration = self.call("trickle", deadline_ms=2000)
+        self.assertIn(status, (0, 502, 504))
+        self.assertLessEqual(duration, 2.0 + LATENESS_S)
+
+    def test_second_copy_of_answer_reaches_nobody(self):
+        """A late second copy of an answer must not answer the next request on its connection."""
+        for number in range(60):
+            adapter = f"a{number % 2}"
+            for engine in self.engines:
+                engine.mode = "second_copy"
+            status, body = self.node.send_request(next(self.ids), adapter)
+            if status == 200:
+                self.assertEqual(COMPLETE_STREAM.format(adapter), body)
+            time.sleep(SECOND_COPY_DELAY_S * (number % 4) / 3)
+
+    def test_bytes_without_end_are_cut_off(self):
+        """Bytes without end, wherever they come, must be cut off before the deadline and must not fill the memory."""
+        for mode in ("endless_head", "endless_refusal", "endless_foreign", "endless_event"):
+            before = len(self.endless_bytes())
+            results = self.call_concurrently(mode, 16, deadline_ms=8000)
+            self.assertEqual([], [result for result in results if result[0] == 200 and result[1] is not None], mode)
+            self.assertLess(max(duration for _, _, duration in results), 8.0, mode)
+            self.eventually(lambda before=before: len(self.endless_bytes()) > before, "the connections are closed")
+            self.node.send_request(next(self.ids), "a0", deadline_ms=50)
+        with open(f"/proc/{self.node.process.pid}/status", encoding="utf-8") as status:
+            peak_kb = next(int(line.split()[1]) for line in status if line.startswith("VmHWM"))
+        self.assertLess(peak_kb, MEMORY_MB * 1024)
+
+
+if __name__ == "__main__":
+    unittest.main(warnings="ignore")
