edge: the end of a slow attempt is no crash of its upstream

What callers saw: a request that three upstreams answered too slowly was refused on all nodes for some seconds as one that crashes upstreams. Cause: the timer of an attempt closes the connection; the error was taken for a connection that the upstream has lost, and recorded as a crash. Change: an attempt that this node has ended is a timeout. Evidence: handle_attempt_that_takes_too_long_is_no_crash fails on the old code (a crash is recorded), passes now.

--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -390,6 +390,10 @@
         return attempt_result::finished;
     }
     state.last_failure = failure;
+    // Without this, the end of a slow attempt would look like a lost connection, and so like a crash of the upstream.
+    if(state.control && state.control->cancelled()) {
+        state.last_failure.cause = core::reason::timeout;
+    }
     if(failure.verdict == core::verdict::not_run) {
         // Nothing reached the upstream, so that sending to another one is not charged as a retry.
         --state.sends;
@@ -404,7 +408,7 @@
     state.verdict = core::verdict::may_have_run;
     if(known != nullptr) {
         known->health.record(true, now);
-        if(failure.cause == core::reason::connection_lost) {
+        if(state.last_failure.cause == core::reason::connection_lost) {
             const auto crash = policy::crash_quarantine::crash_id(upstream, std::to_string(known->entry.started_ms));
             const std::array digests{state.digest};
             this->context.quarantine.record_crash(crash, digests);
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -123,11 +123,13 @@
             static_cast<void>(co_await writer.write("id: 2\ndata: b\n\n"));
             static_cast<void>(co_await writer.finish());
             co_return;
-        } else if(behavior == "hang") {
-            const auto disconnected = this->caller_disconnected;
-            writer.on_disconnect([disconnected] { disconnected->set_value(); });
-            static_cast<void>(co_await writer.begin(200u, response.headers));
-            static_cast<void>(co_await writer.write("id: 1\ndata: a\n\n"));
+        } else if(behavior == "hang" || behavior == "silent") {
+            if(behavior == "hang") {
+                const auto disconnected = this->caller_disconnected;
+                writer.on_disconnect([disconnected] { disconnected->set_value(); });
+                static_cast<void>(co_await writer.begin(200u, response.headers));
+                static_cast<void>(co_await writer.write("id: 1\ndata: a\n\n"));
+            }
             asio::steady_timer timer{co_await asio::this_coro::executor, 20s};
             boost::system::error_code ignored{};
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -434,6 +436,16 @@
     CHECK(this->upstream.received.at(1u).headers.find("resume") == "1");
 }
 
+// Guards against taking an upstream for crashed that was only slower than the time for one attempt.
+TEST_CASE_FIXTURE(forwarder_fixture, "handle_attempt_that_takes_too_long_is_no_crash") {
+    this->upstream.script = {"silent", "ok"};
+    auto message = this->make_request("safe");
+    message.headers.set("deadline", "2500");
+    CHECK(this->send(std::move(message))->status == 200u);
+    CHECK(this->upstream.received.size() == 2u);
+    CHECK(this->quarantine.records().empty());
+}
+
 // Guards against sending a request again, after it was admitted, once its prompt part is known to crash upstreams.
 TEST_CASE_FIXTURE(forwarder_fixture, "handle_third_crash_on_prompt_part_does_not_resume_stream") {
     const auto now = core::unix_time().count();
