edge: no evidence against a request whose answer had begun

What callers saw: a sound request that ran on three engines when others crashed them was refused as one that crashes engines. Change: a lost connection is recorded only before the first event. Evidence: handle_connection_lost_after_first_event_is_no_evidence_against_ request fails on the old code, passes now.

--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -408,18 +408,9 @@
     state.verdict = core::verdict::may_have_run;
     if(known != nullptr) {
         known->health.record(true, now);
-        if(state.last_failure.cause == core::reason::connection_lost) {
-            const auto crash = policy::crash_quarantine::crash_id(upstream, std::to_string(known->entry.started_ms));
-            const std::array digests{state.digest};
-            this->context.quarantine.record_crash(crash, digests);
-            this->context.log.write(log_line{"crash"}
-                                        .add("upstream", upstream)
-                                        .add("id", state.metadata.id)
-                                        .add("digest", state.digest)
-                                        .add("source", "local"));
-            if(!state.head_sent) {
-                this->context.prompt_parts.record_crash(known->entry, state.metadata.shared_parts);
-            }
+        // An upstream crashes on a request before it answers; what ends an answer later has another cause.
+        if(state.last_failure.cause == core::reason::connection_lost && !state.head_sent) {
+            this->record_crash(state, known->entry);
         }
     }
     state.excluded.insert(upstream);
@@ -428,6 +419,18 @@
     return retry && now + send_margin < state.deadline ? attempt_result::retry : attempt_result::fail;
 }
 
+void forwarder::record_crash(const exchange_state& state, const upstream_entry& upstream) {
+    const auto crash = policy::crash_quarantine::crash_id(upstream.id, std::to_string(upstream.started_ms));
+    const std::array digests{state.digest};
+    this->context.quarantine.record_crash(crash, digests);
+    this->context.prompt_parts.record_crash(upstream, state.metadata.shared_parts);
+    this->context.log.write(log_line{"crash"}
+                                .add("upstream", upstream.id)
+                                .add("id", state.metadata.id)
+                                .add("digest", state.digest)
+                                .add("source", "local"));
+}
+
 forwarder::attempt_result forwarder::handle_not_run(
     exchange_state& state, const std::string& upstream, const response_metadata& head, unsigned status) {
     const auto now = this->context.clock.now();
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -121,6 +121,8 @@
     /*! @brief Handles an attempt without a complete response from the upstream. */
     [[nodiscard]] attempt_result handle_failure(
         exchange_state& state, const std::string& upstream, const core::error& failure);
+    /*! @brief Records that an upstream crashed while it had not begun to answer the request. */
+    void record_crash(const exchange_state& state, const upstream_entry& upstream);
     /*! @brief Handles a response in which the upstream states that it did not run the request. */
     [[nodiscard]] attempt_result handle_not_run(
         exchange_state& state, const std::string& upstream, const response_metadata& head, unsigned status);
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -446,6 +446,16 @@
     CHECK(this->quarantine.records().empty());
 }
 
+// Guards against blaming a request for a crash that came after the upstream had begun to answer it.
+TEST_CASE_FIXTURE(forwarder_fixture, "handle_connection_lost_after_first_event_is_no_evidence_against_request") {
+    this->upstream.script = {"broken_stream"};
+    CHECK_FALSE(this->send_to_route("stream").has_value());
+    CHECK(this->quarantine.records().empty());
+    this->upstream.script = {"cut"};
+    CHECK(this->send_to_route("stream")->status == 502u);
+    CHECK(this->quarantine.records().size() == 1u);
+}
+
 // Guards against sending a request again, after it was admitted, once its prompt part is known to crash upstreams.
 TEST_CASE_FIXTURE(forwarder_fixture, "handle_third_crash_on_prompt_part_does_not_resume_stream") {
     const auto now = core::unix_time().count();
