edge, http: a refusal without a request id proves nothing on a reused connection

What callers could see: a request that may run once runs twice. A refusal that arrives late, as a second copy, on a connection that is in use again was taken for that of the next request when it named no request. Cause: the node accepts a response without an id when it says not run. Change: it does so only on a connection that has carried no other exchange; otherwise the request may have run. Evidence: handle_refusal_without_id_on_reused_connection_is_no_proof fails on the old code (sent again), passes now.

--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -40,6 +40,13 @@
     exchange_state& state, const std::string& upstream, http::response_stream& upstream_response) {
     const auto head = this->context.format.parse_response_head(upstream_response.status(), upstream_response.headers());
     this->observe_upstream(state, upstream, head);
+    if(head.not_run && head.request_id.empty() && upstream_response.reused()) {
+        upstream_response.close();
+        co_return this->handle_failure(state, upstream,
+            core::error{.cause = core::reason::protocol_error,
+                .verdict = core::verdict::may_have_run,
+                .message = "a refusal on a reused connection does not name its request"});
+    }
     if(head.not_run) {
         // Reading the body allows the connection to be reused.
         static_cast<void>(co_await upstream_response.read());
--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -166,7 +166,7 @@
         return this->head;
     }
 
-    [[nodiscard]] bool reused() const noexcept {
+    [[nodiscard]] bool reused() const noexcept override {
         return this->from_pool;
     }
 
--- a/src/lagoonsaddle/http/client.hpp
+++ b/src/lagoonsaddle/http/client.hpp
@@ -70,6 +70,8 @@
 
     [[nodiscard]] virtual unsigned status() const noexcept = 0;
     [[nodiscard]] virtual const fields& headers() const noexcept = 0;
+    /*! @brief Returns whether the connection has carried other exchanges before, whose responses may arrive late. */
+    [[nodiscard]] virtual bool reused() const noexcept = 0;
 
     /**
      * @brief Reads the next piece of the body.
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -94,9 +94,10 @@
         http::response response{.status = 200u, .body = "whole"};
         response.headers.set("id", message.headers.find("id").value_or(""));
         response.headers.set("signed", "1");
-        if(behavior == "full") {
+        if(behavior == "full" || behavior == "full_without_id") {
             response.status = 503u;
             response.headers.set("not-run", "1");
+            response.headers.set("id", behavior == "full" ? message.headers.find("id").value_or("") : "");
         } else if(behavior == "error") {
             response.status = 500u;
         } else if(behavior == "cut") {
@@ -436,6 +437,16 @@
     CHECK(this->upstream.received.at(1u).headers.find("resume") == "1");
 }
 
+// Guards against running a request twice after a late refusal of an earlier request on the same connection, which names
+// no request.
+TEST_CASE_FIXTURE(forwarder_fixture, "handle_refusal_without_id_on_reused_connection_is_no_proof") {
+    this->upstream.script = {"full_without_id", "ok"};
+    CHECK(this->send_to_route("once")->status == 200u);
+    this->upstream.script = {"full_without_id", "ok"};
+    CHECK(this->send_to_route("once")->status == 502u);
+    CHECK(this->upstream.received.size() == 3u);
+}
+
 // Guards against taking an upstream for crashed that was only slower than the time for one attempt.
 TEST_CASE_FIXTURE(forwarder_fixture, "handle_attempt_that_takes_too_long_is_no_crash") {
     this->upstream.script = {"silent", "ok"};
