upstream: an event of another request is not passed on

What callers could see: the answer to another request. An engine that sends a second copy of a response, late, on a connection that is in use again had it handed to the next caller: the product's engine client knows the adapter of a response, but not its request. Cause: nothing compared the response with the request. The entry node compares ids of requests and skips others, and its connections for orders are apart from those for requests. Change: the first event of a stream has to name the request; otherwise the stream is a protocol error, and the owner resumes the request's own one. Evidence: next_event_of_another_request_is_an_error fails on the old code, passes now; the integration and stand-in tests pass. The connections of plain services carry no id in their responses; that remains open.

--- a/src/lagoonsaddle/upstream/engine_client.cpp
+++ b/src/lagoonsaddle/upstream/engine_client.cpp
@@ -28,6 +28,15 @@
     }
 }
 
+/*! @brief Returns false when an event names another request: a second copy of its response may arrive late. */
+[[nodiscard]] bool names_request(const std::string& event, const std::string& request_id) {
+    const auto parsed = http::parse_json(event);
+    if(!parsed || !parsed->is_object() || !parsed->contains("id") || !parsed->at("id").is_string()) {
+        return true;
+    }
+    return parsed->at("id").get<std::string>() == request_id;
+}
+
 [[nodiscard]] std::vector<core::adapter_version> parse_adapters(const nlohmann::json& list) {
     std::vector<core::adapter_version> adapters{};
     for(const auto& entry : list) {
@@ -43,8 +52,9 @@
 
 class engine_client::http_stream final : public engine_stream {
 public:
-    explicit http_stream(std::unique_ptr<http::response_stream> opened)
+    http_stream(std::unique_ptr<http::response_stream> opened, std::string call)
         : response{std::move(opened)},
+          request_id{std::move(call)},
           adapter{header_value(this->response->headers(), "x-adapter")},
           engine_boot_id{header_value(this->response->headers(), "x-boot-id")} {}
 
@@ -64,6 +74,12 @@
                     static_cast<void>(co_await this->response->read());
                     co_return std::optional<std::string>{};
                 }
+                if(!this->verified && !names_request(*event, this->request_id)) {
+                    this->response->close();
+                    co_return core::fail(core::reason::protocol_error, core::verdict::may_have_run,
+                        "the stream belongs to another request");
+                }
+                this->verified = true;
                 co_return event;
             }
             auto chunk = co_await this->response->read();
@@ -84,6 +100,9 @@
 
 private:
     std::unique_ptr<http::response_stream> response;
+    std::string request_id;
+    /*! @brief Whether the first event has shown that the stream belongs to the request. */
+    bool verified{false};
     std::string adapter;
     std::string engine_boot_id;
     sse_parser parser{};
@@ -112,7 +131,7 @@
         const auto response_body = co_await read_body(**response);
         co_return tl::make_unexpected(internal::parse_error_response((*response)->status(), response_body));
     }
-    co_return std::make_unique<http_stream>(std::move(*response));
+    co_return std::make_unique<http_stream>(std::move(*response), std::move(call.request_id));
 }
 
 asio::awaitable<core::result<std::unique_ptr<engine_stream>>> engine_client::resume(
@@ -126,7 +145,7 @@
         const auto response_body = co_await read_body(**response);
         co_return tl::make_unexpected(internal::parse_error_response((*response)->status(), response_body));
     }
-    co_return std::make_unique<http_stream>(std::move(*response));
+    co_return std::make_unique<http_stream>(std::move(*response), std::move(request_id));
 }
 
 asio::awaitable<void> engine_client::cancel(std::string request_id) {
