edge: limit the bodies that a node buffers at a time

What callers saw: a node that is ended for its memory, with all requests in progress. Bodies of responses that are not streams are held back until they are complete, up to 8 MiB each; bytes without end in many of them at once exceed the 260 MB of a machine. Change: all buffered bodies together are limited to 64 MiB; what exceeds it is a failure of its upstream. receive_response is split.

--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -90,6 +90,7 @@
 
 private:
     struct exchange_state;
+    class buffer_reservation;
     enum class attempt_result;
 
     /*! @brief Validates a request and runs attempts until one gives the final result. */
@@ -106,6 +107,9 @@
         exchange_state& state, const std::string& upstream, http::response_stream& upstream_response);
     [[nodiscard]] boost::asio::awaitable<attempt_result> relay_stream(
         exchange_state& state, const std::string& upstream, http::response_stream& upstream_response);
+    /*! @brief Reads a whole body, as far as this response and all others together stay within their limits. */
+    [[nodiscard]] boost::asio::awaitable<core::result<std::string>> read_body(
+        http::response_stream& upstream_response, buffer_reservation& reserved);
     /**
      * @brief Reads the next complete events of a stream.
      * @return The events, an empty text at the proper end of the stream, or an error when it has been broken off.
@@ -157,6 +161,8 @@
     };
 
     std::optional<stop_schedule> stopping{};
+    /*! @brief Size of the bodies of responses that are held back until they are complete. */
+    std::size_t buffered_bytes{};
 };
 
 } // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -17,6 +17,8 @@
 
 /*! @brief Maximum size of a body that is buffered because the response is not streamed. */
 constexpr std::size_t buffered_body_limit{8u * 1024u * 1024u};
+/*! @brief Maximum size of all bodies that the node buffers at a time, well below the memory of its machine. */
+constexpr std::size_t buffered_total_limit{64u * 1024u * 1024u};
 /*! @brief Maximum size of one event of a stream; larger ones come from an upstream that sends bytes without end. */
 constexpr std::size_t event_size_limit{256u * 1024u};
 /*! @brief Retry-After time of refusals that are not caused by overload. */
@@ -24,6 +26,30 @@
 
 } // namespace
 
+/*! @brief Share of a response in the bytes that the node buffers; releases it at the end of the response. */
+class forwarder::buffer_reservation {
+public:
+    explicit buffer_reservation(std::size_t& all_responses) : total{all_responses} {}
+
+    buffer_reservation(const buffer_reservation&) = delete;
+    buffer_reservation& operator=(const buffer_reservation&) = delete;
+
+    ~buffer_reservation() {
+        this->total -= this->held;
+    }
+
+    /*! @brief Adds bytes; returns false when all responses together exceed the limit. */
+    [[nodiscard]] bool add(std::size_t bytes) noexcept {
+        this->held += bytes;
+        this->total += bytes;
+        return this->total <= buffered_total_limit;
+    }
+
+private:
+    std::size_t& total;
+    std::size_t held{};
+};
+
 void forwarder::observe_upstream(
     const exchange_state& state, const std::string& upstream, const response_metadata& head) {
     this->context.limits.observe(upstream, head.rate_limit, state.sent_at);
@@ -66,23 +92,10 @@
     if(state.matched_route->streaming && success) {
         co_return co_await this->relay_stream(state, upstream, upstream_response);
     }
-    std::string body{};
-    while(true) {
-        auto chunk = co_await upstream_response.read();
-        if(!chunk) {
-            co_return this->handle_failure(state, upstream, chunk.error());
-        }
-        if(chunk->empty()) {
-            break;
-        }
-        body += *chunk;
-        if(body.size() > buffered_body_limit) {
-            upstream_response.close();
-            co_return this->handle_failure(state, upstream,
-                core::error{.cause = core::reason::protocol_error,
-                    .verdict = core::verdict::may_have_run,
-                    .message = "the body of the response is too large"});
-        }
+    buffer_reservation reserved{this->buffered_bytes};
+    auto body = co_await this->read_body(upstream_response, reserved);
+    if(!body) {
+        co_return this->handle_failure(state, upstream, body.error());
     }
     const auto now = this->context.clock.now();
     if(auto* known = this->context.upstreams.find(upstream)) {
@@ -120,13 +133,33 @@
     }
     http::response response{.status = upstream_response.status(),
         .headers = this->context.format.caller_headers(upstream_response.headers()),
-        .body = std::move(body)};
+        .body = std::move(*body)};
     if(const auto sent = co_await state.writer.send(std::move(response)); !sent) {
         state.outcome = "caller_gone";
     }
     co_return attempt_result::finished;
 }
 
+asio::awaitable<core::result<std::string>> forwarder::read_body(
+    http::response_stream& upstream_response, buffer_reservation& reserved) {
+    std::string body{};
+    while(true) {
+        auto chunk = co_await upstream_response.read();
+        if(!chunk) {
+            co_return tl::make_unexpected(std::move(chunk.error()));
+        }
+        if(chunk->empty()) {
+            co_return body;
+        }
+        body += *chunk;
+        if(!reserved.add(chunk->size()) || body.size() > buffered_body_limit) {
+            upstream_response.close();
+            co_return core::fail(
+                core::reason::protocol_error, core::verdict::may_have_run, "the body of the response is too large");
+        }
+    }
+}
+
 asio::awaitable<core::result<std::string>> forwarder::read_events(
     exchange_state& state, http::response_stream& upstream_response) {
     while(true) {
--- a/test/platform_node/broken_answer_test.py
+++ b/test/platform_node/broken_answer_test.py
@@ -8,12 +8,15 @@
 import unittest
 
 import standin
-from entry_node_case import COMPLETE_STREAM, EntryNodeCase
+from entry_node_case import COMPLETE_STREAM, CONFIGURATION, EntryNodeCase
 
 EVENT_INTERVAL_S = 0.3
 SECOND_COPY_DELAY_S = 0.03
 TRICKLE_INTERVAL_S = 0.1
 PIECE = b"x" * 16_384
+PLAIN_PATH = "/p/"
+PLAIN_CONFIGURATION = {**CONFIGURATION, "version": 2, "routes": [
+    *CONFIGURATION["routes"], {**CONFIGURATION["routes"][0], "name": "p", "pathPrefix": PLAIN_PATH, "kind": "unsafe"}]}
 # Bounds of the platform: memory of a machine, and time beyond a deadline until the answer.
 MEMORY_MB = 260
 LATENESS_S = 0.5
@@ -117,21 +120,22 @@
         self.start_fleet(1)
         self.node = self.nodes[0]
 
-    def call(self, mode, deadline_ms=15000):
+    def call(self, mode, deadline_ms=15000, path="/a/1"):
         """Sends a request to engines in a mode; returns its status, body (None when broken off) and duration."""
         for engine in self.engines:
             engine.mode = mode
         begin = time.monotonic()
         try:
-            status, body = self.node.send_request(next(self.ids), "a0", deadline_ms=deadline_ms)
+            status, body = self.node.send_request(next(self.ids), "a0", path, deadline_ms=deadline_ms)
         except OSError:
             status, body = 0, None
         return status, body, time.monotonic() - begin
 
-    def call_concurrently(self, mode, count, deadline_ms):
+    def call_concurrently(self, mode, count, deadline_ms, path="/a/1"):
         """Sends requests at once; returns their results."""
         results = []
-        callers = [threading.Thread(target=lambda: results.append(self.call(mode, deadline_ms))) for _ in range(count)]
+        callers = [threading.Thread(target=lambda: results.append(self.call(mode, deadline_ms, path)))
+                   for _ in range(count)]
         for caller in callers:
             caller.start()
         for caller in callers:
@@ -177,9 +181,21 @@
             self.assertLess(max(duration for _, _, duration in results), 8.0, mode)
             self.eventually(lambda before=before: len(self.endless_bytes()) > before, "the connections are closed")
             self.node.send_request(next(self.ids), "a0", deadline_ms=50)
+        self.assertLess(self.peak_memory_mb(), MEMORY_MB)
+
+    def test_many_bodies_without_end_do_not_fill_memory(self):
+        """Bodies that are held back until they are complete must not fill the memory of the machine together."""
+        self.store.put("config", "main", PLAIN_CONFIGURATION)
+        self.eventually(lambda: self.call("", path=PLAIN_PATH)[0] == 200, "the route is served")
+        results = self.call_concurrently("endless_event", 60, 8000, PLAIN_PATH)
+        self.assertEqual([], [result for result in results if result[0] == 200])
+        self.assertLess(self.peak_memory_mb(), MEMORY_MB)
+        self.assertEqual(200, self.call("", path=PLAIN_PATH)[0])
+
+    def peak_memory_mb(self):
+        """Returns the highest resident memory of the node so far."""
         with open(f"/proc/{self.node.process.pid}/status", encoding="utf-8") as status:
-            peak_kb = next(int(line.split()[1]) for line in status if line.startswith("VmHWM"))
-        self.assertLess(peak_kb, MEMORY_MB * 1024)
+            return next(int(line.split()[1]) for line in status if line.startswith("VmHWM")) / 1024
 
 
 if __name__ == "__main__":
