edge: split entry_node and forwarder

What applies records of the store is in entry_node_records.cpp now, with the class in internal_entry_node.hpp; what decides whether a request may be sent in forwarder_admission.cpp. Functions are moved, not changed.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -1,41 +1,28 @@
 #include <chrono>
 #include <utility>
-#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <lagoonsaddle/edge/configuration_sync.hpp>
-#include <lagoonsaddle/edge/dispatch_service.hpp>
-#include <lagoonsaddle/edge/entry_node.hpp>
-#include <lagoonsaddle/edge/forwarder.hpp>
-#include <lagoonsaddle/edge/instrumented.hpp>
+#include <lagoonsaddle/edge/internal_entry_node.hpp>
 #include <lagoonsaddle/edge/process_metrics.hpp>
-#include <lagoonsaddle/edge/prompt_part_guard.hpp>
-#include <lagoonsaddle/edge/reader_selection.hpp>
-#include <lagoonsaddle/edge/record_watcher.hpp>
 #include <lagoonsaddle/edge/sleep.hpp>
-#include <lagoonsaddle/edge/status_handlers.hpp>
 #include <lagoonsaddle/http/json.hpp>
-#include <lagoonsaddle/http/server.hpp>
 #include <lagoonsaddle/wire/codec.hpp>
-#include <lagoonsaddle/wire/peer_server.hpp>
 
 namespace lagoonsaddle::edge {
 
 namespace asio = boost::asio;
 
+using internal::configuration_item_kind;
+using internal::crashes_until_quarantine;
+using internal::leaving_item_kind;
+using internal::suspect_duration;
+
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr std::string_view leaving_item_kind{"leaving"};
-constexpr std::string_view configuration_item_kind{"configuration"};
-/*! @brief Time for which the membership gossip keeps the notice that an upstream is leaving. */
-constexpr std::chrono::minutes leaving_item_lifetime{2};
-/*! @brief Number of upstreams that have to crash on a request before it is refused. */
-constexpr std::size_t crashes_until_quarantine{3u};
-constexpr std::chrono::minutes suspect_duration{2};
 constexpr milliseconds housekeeping_interval{50};
 /*! @brief A stopping node accepts requests for this time: the load balancer needs two failed probes, 1 s apart. */
 constexpr milliseconds traffic_drain_time{3'000};
@@ -50,88 +37,9 @@
 constexpr milliseconds short_watch_timeout{1'900};
 /*! @brief Watch timeout of records whose delay matters less. */
 constexpr milliseconds long_watch_timeout{5'000};
-/*! @brief Entries of upstreams in the store cannot expire during a shorter outage. */
-constexpr milliseconds expiring_outage_min{1'000};
 
 } // namespace
 
-class entry_node::impl final : public record_observer,
-                               public upstream_observer,
-                               public node_status,
-                               public wire::peer_handler {
-public:
-    impl(entry_node_context uses, entry_settings values, std::uint64_t boot);
-
-    [[nodiscard]] core::result<void> start();
-    [[nodiscard]] asio::awaitable<void> stop();
-    [[nodiscard]] std::string state_json() const override;
-    [[nodiscard]] bool ready() const override;
-    [[nodiscard]] std::string metrics_text() override;
-
-    void on_list(record_kind kind, const record_page& page) override;
-    void on_changes(record_kind kind, const record_page& page) override;
-    void on_store_recovered(record_kind kind, core::duration outage) override;
-    void on_store_restored(record_kind kind) override;
-    void on_upstream_leaving(const std::string& upstream) override;
-    asio::awaitable<void> handle(
-        std::string peer, wire::frame message, std::shared_ptr<wire::responder> responder) override;
-
-private:
-    /*! @brief Broadcasts the pending updates to the peers, if this node is an exact reader of the store. */
-    void broadcast_updates();
-    /*! @brief Applies store updates that a peer has broadcast. */
-    void apply_updates(const wire::store_news& updates);
-    /*! @brief Returns the freshness with which this node has to watch the store at present. */
-    [[nodiscard]] freshness watch_freshness() const;
-    void apply_upstream(const record_change& change);
-    /*! @brief Puts a configuration into force and announces it, unless this node has it or a newer one. */
-    void apply_configuration(configuration value, std::string_view source);
-    void apply_lease(const record_change& change, std::uint64_t epoch);
-    /*! @brief Marks the upstreams that peers have announced as leaving, which the store may not show. */
-    void apply_announced_leaving();
-    /*! @brief Logs that an upstream is leaving or was removed, and announces a leaving one to the peers. */
-    void announce_leaving(const std::string& id, std::string_view source);
-    void start_watcher(record_kind kind, milliseconds timeout, milliseconds delay_after_changes);
-    /*! @brief Periodically removes expired upstreams and flushes the log. */
-    [[nodiscard]] asio::awaitable<void> run_housekeeping();
-
-    entry_node_context context;
-    entry_settings settings;
-    std::uint64_t boot_id;
-
-    operate::metrics_registry metrics;
-    instrumented_log log;
-    instrumented_store store;
-    route_table routes{};
-    upstream_table upstreams{};
-    upstream_selector selector;
-    retry_budget budget;
-    std::shared_ptr<cluster::membership_service> membership;
-    upstream_limits limits;
-    cluster::peer_directory peers;
-    cluster::quarantine_service quarantine;
-    crash_verifier verifier{crash_verifier_options{
-        .crashes_until_quarantine = crashes_until_quarantine, .suspect_duration = suspect_duration}};
-    prompt_part_guard prompt_parts;
-    std::shared_ptr<placement_service> placement;
-    std::shared_ptr<dispatch_service> dispatch;
-    std::shared_ptr<configuration_sync> configuration_updates;
-    forwarder request_forwarder;
-    readiness_handler readiness;
-    metrics_handler metrics_endpoint;
-    http::server caller_server;
-    http::server readiness_server;
-    http::server metrics_server;
-    wire::peer_server peer_server;
-    store_backoff shared_backoff;
-    std::vector<std::unique_ptr<record_watcher>> watchers{};
-    /*! @brief What was read from the store since the last broadcast to the peers. */
-    wire::store_news pending_updates{};
-    core::time_point started{};
-    bool upstreams_known{false};
-    bool stopping{false};
-};
-
 entry_node::impl::impl(entry_node_context uses, entry_settings values, std::uint64_t boot)
     : context{uses},
       settings{std::move(values)},
@@ -311,171 +219,6 @@
     }
 }
 
-freshness entry_node::impl::watch_freshness() const {
-    const auto members = this->membership->members();
-    const bool exact = is_exact_reader(this->settings.name, this->settings.availability_zone, *members);
-    return exact ? freshness::exact : freshness::stale;
-}
-
-void entry_node::impl::broadcast_updates() {
-    const auto updates = std::exchange(this->pending_updates, {});
-    const bool empty = updates.configuration_version == 0u && updates.leaving.empty() && updates.versions.empty();
-    if(!empty && this->watch_freshness() == freshness::exact) {
-        this->peers.broadcast(wire::message_type::store_news, wire::pack(updates));
-    }
-}
-
-void entry_node::impl::apply_updates(const wire::store_news& updates) {
-    for(const auto& entry : updates.leaving) {
-        if(this->upstreams.mark_leaving(entry.upstream, entry.started_ms)) {
-            this->log.write(log_line{"upstream_leaving"}.add("upstream", entry.upstream).add("source", "peer"));
-        }
-    }
-    for(const auto& entry : updates.versions) {
-        this->placement->on_version_announced(
-            version_record{.model = entry.model, .adapter = entry.adapter, .version = entry.version});
-    }
-    this->configuration_updates->announce(updates.configuration_version);
-}
-
-void entry_node::impl::apply_announced_leaving() {
-    for(const auto& item : this->membership->items(leaving_item_kind)) {
-        if(this->upstreams.mark_leaving(item.key, item.version)) {
-            this->log.write(log_line{"upstream_leaving"}.add("upstream", item.key).add("source", "peer"));
-        }
-    }
-}
-
-void entry_node::impl::announce_leaving(const std::string& id, std::string_view source) {
-    const auto* known = this->upstreams.find(id);
-    this->log.write(
-        log_line{known != nullptr ? "upstream_leaving" : "upstream_gone"}.add("upstream", id).add("source", source));
-    if(known != nullptr) {
-        this->pending_updates.leaving.push_back({.upstream = id, .started_ms = known->entry.started_ms});
-        this->membership->publish(fleet::gossip_item{.kind = std::string{leaving_item_kind},
-            .key = id,
-            .version = known->entry.started_ms,
-            .lifetime = leaving_item_lifetime});
-    }
-}
-
-void entry_node::impl::apply_upstream(const record_change& change) {
-    const auto now = this->context.clock.now();
-    const auto* entry = std::get_if<upstream_entry>(&change.value);
-    const bool known = this->upstreams.find(change.name) != nullptr;
-    if(entry != nullptr && !known) {
-        this->log.write(log_line{"upstream_added"}
-                            .add("upstream", entry->id)
-                            .add("service", entry->service)
-                            .add("zone", entry->availability_zone)
-                            .add("address", core::to_string(entry->address)));
-    }
-    const bool is_leaving =
-        entry != nullptr ? this->upstreams.update(*entry, now) : this->upstreams.remove(change.name, now);
-    if(is_leaving) {
-        this->announce_leaving(change.name, "store");
-    }
-    if(entry != nullptr && !known) {
-        this->limits.apply_announced();
-        this->apply_announced_leaving();
-    }
-}
-
-void entry_node::impl::apply_configuration(configuration value, std::string_view source) {
-    if(!this->routes.apply(std::move(value))) {
-        return;
-    }
-    const auto& current = *this->routes.current();
-    this->log.write(log_line{"configuration"}
-                        .add("version", static_cast<std::int64_t>(current.version))
-                        .add("source", source)
-                        .add("epoch", static_cast<std::int64_t>(this->store.epoch()))
-                        .add("routes", static_cast<std::int64_t>(current.routes.size())));
-    this->pending_updates.configuration_version = current.version;
-    this->membership->publish(
-        fleet::gossip_item{.kind = std::string{configuration_item_kind}, .key = "newest", .version = current.version});
-    this->placement->on_upstreams_changed();
-    this->broadcast_updates();
-}
-
-void entry_node::impl::apply_lease(const record_change& change, std::uint64_t epoch) {
-    if(const auto* lease = std::get_if<lease_record>(&change.value)) {
-        const stored_lease record{.lease = *lease, .revision = change.revision, .epoch = epoch};
-        this->placement->on_lease_changed(change.name, &record);
-    } else {
-        this->placement->on_lease_changed(change.name, nullptr);
-    }
-}
-
-void entry_node::impl::on_list(record_kind kind, const record_page& page) {
-    if(kind == record_kind::upstreams) {
-        std::vector<upstream_entry> entries{};
-        for(const auto& change : page.records) {
-            if(const auto* entry = std::get_if<upstream_entry>(&change.value)) {
-                entries.push_back(*entry);
-            }
-        }
-        for(const auto& id : this->upstreams.replace(entries, this->context.clock.now())) {
-            this->announce_leaving(id, "store");
-        }
-        this->limits.apply_announced();
-        this->apply_announced_leaving();
-        this->upstreams_known = true;
-        this->placement->on_upstreams_changed();
-        this->broadcast_updates();
-        return;
-    }
-    this->on_changes(kind, page);
-}
-
-void entry_node::impl::on_changes(record_kind kind, const record_page& page) {
-    for(const auto& change : page.records) {
-        switch(kind) {
-        case record_kind::configuration:
-            if(const auto* value = std::get_if<configuration>(&change.value)) {
-                this->apply_configuration(*value, "store");
-            }
-            break;
-        case record_kind::upstreams:
-            this->apply_upstream(change);
-            break;
-        case record_kind::versions:
-            if(const auto* record = std::get_if<version_record>(&change.value)) {
-                if(this->placement->on_version_announced(*record)) {
-                    this->pending_updates.versions.push_back(
-                        {.model = record->model, .adapter = record->adapter, .version = record->version});
-                }
-            }
-            break;
-        case record_kind::leases:
-            this->apply_lease(change, page.epoch);
-            break;
-        }
-    }
-    if(kind == record_kind::upstreams) {
-        this->placement->on_upstreams_changed();
-    }
-    this->broadcast_updates();
-}
-
-void entry_node::impl::on_store_recovered(record_kind kind, core::duration outage) {
-    if(kind == record_kind::upstreams && outage >= expiring_outage_min) {
-        this->upstreams.on_store_recovered(this->context.clock.now());
-    }
-}
-
-void entry_node::impl::on_store_restored(record_kind kind) {
-    if(kind == record_kind::upstreams) {
-        // Upstreams whose entries the copy lacks write them again, as after an outage.
-        this->upstreams.on_store_recovered(this->context.clock.now());
-    }
-}
-
-void entry_node::impl::on_upstream_leaving(const std::string& upstream) {
-    this->announce_leaving(upstream, "response");
-    this->broadcast_updates();
-}
-
 asio::awaitable<void> entry_node::impl::handle(
     std::string peer, wire::frame message, std::shared_ptr<wire::responder> responder) {
     if(message.type == wire::message_type::quarantine_update) {
--- /dev/null
+++ b/src/lagoonsaddle/edge/forwarder_admission.cpp
@@ -0,0 +1,73 @@
+// Decides whether a request may be sent at all, by its route and by what is known of its content.
+#include <optional>
+
+#include <lagoonsaddle/edge/internal_exchange.hpp>
+
+namespace lagoonsaddle::edge {
+
+using internal::retry_after_overload;
+
+namespace {
+
+[[nodiscard]] core::error quarantined_request_error() {
+    return core::error{.cause = core::reason::quarantined,
+        .message = "the request is quarantined because upstreams crashed while running it"};
+}
+
+/*! @brief Returns the error of a request that is refused for a part of its prompt, or nothing. */
+[[nodiscard]] std::optional<core::error> to_error(const prompt_part_decision& decision) {
+    if(decision.admission != prompt_part_admission::refused) {
+        return std::nullopt;
+    }
+    return core::error{.cause = core::reason::quarantined,
+        .message = "upstreams crashed on requests with the prompt part " + decision.part,
+        .retry_after = decision.retry_after};
+}
+
+} // namespace
+
+bool forwarder::is_quarantined(const exchange_state& state) const {
+    if(this->context.quarantine.classify(state.digest) != policy::quarantine_status::quarantined) {
+        return false;
+    }
+    const auto record = this->context.quarantine.find_record(state.digest);
+    return record && this->context.verifier.confirms_quarantine(*record, this->context.upstreams, core::unix_time());
+}
+
+std::optional<core::error> forwarder::admit_content(exchange_state& state) {
+    if(this->is_quarantined(state)) {
+        return quarantined_request_error();
+    }
+    const auto decision = this->context.prompt_parts.admit(state.metadata.shared_parts);
+    state.probes_prompt_part = decision.admission == prompt_part_admission::probe;
+    return to_error(decision);
+}
+
+std::optional<core::error> forwarder::review_content(const exchange_state& state) const {
+    if(this->is_quarantined(state)) {
+        return quarantined_request_error();
+    }
+    return to_error(this->context.prompt_parts.review(state.metadata.shared_parts));
+}
+
+std::optional<core::error> forwarder::match_route(exchange_state& state) const {
+    const auto known = this->context.configuration.state();
+    if(!state.config || known == configuration_state::unknown) {
+        return core::error{.cause = core::reason::unavailable,
+            .message = "the node does not know the configuration in force yet",
+            .retry_after = retry_after_overload};
+    }
+    state.matched_route =
+        this->context.routes.find(state.request.headers.find("host").value_or(""), state.request.target);
+    if(state.matched_route != nullptr) {
+        return std::nullopt;
+    }
+    if(known == configuration_state::behind) {
+        return core::error{.cause = core::reason::unavailable,
+            .message = "no route matches the host and path, but a newer configuration is in force",
+            .retry_after = retry_after_overload};
+    }
+    return core::error{.cause = core::reason::not_found, .message = "no route matches the host and path"};
+}
+
+} // namespace lagoonsaddle::edge
--- /dev/null
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -0,0 +1,116 @@
+#ifndef LAGOONSADDLE_EDGE_INTERNAL_ENTRY_NODE_HPP
+#define LAGOONSADDLE_EDGE_INTERNAL_ENTRY_NODE_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <lagoonsaddle/edge/configuration_sync.hpp>
+#include <lagoonsaddle/edge/dispatch_service.hpp>
+#include <lagoonsaddle/edge/entry_node.hpp>
+#include <lagoonsaddle/edge/forwarder.hpp>
+#include <lagoonsaddle/edge/instrumented.hpp>
+#include <lagoonsaddle/edge/prompt_part_guard.hpp>
+#include <lagoonsaddle/edge/record_watcher.hpp>
+#include <lagoonsaddle/edge/status_handlers.hpp>
+#include <lagoonsaddle/http/server.hpp>
+#include <lagoonsaddle/wire/peer_server.hpp>
+
+namespace lagoonsaddle::edge {
+
+namespace internal {
+
+/*! @brief Kinds of the membership items that announce leaving upstreams and configurations. */
+inline constexpr std::string_view leaving_item_kind{"leaving"};
+inline constexpr std::string_view configuration_item_kind{"configuration"};
+/*! @brief Number of upstreams that have to crash on a request before it is refused. */
+inline constexpr std::size_t crashes_until_quarantine{3u};
+inline constexpr std::chrono::minutes suspect_duration{2};
+
+} // namespace internal
+
+/*! @brief Parts of an entry node and what connects them. */
+class entry_node::impl final : public record_observer,
+                               public upstream_observer,
+                               public node_status,
+                               public wire::peer_handler {
+public:
+    impl(entry_node_context uses, entry_settings values, std::uint64_t boot);
+
+    [[nodiscard]] core::result<void> start();
+    [[nodiscard]] boost::asio::awaitable<void> stop();
+    [[nodiscard]] std::string state_json() const override;
+    [[nodiscard]] bool ready() const override;
+    [[nodiscard]] std::string metrics_text() override;
+
+    void on_list(record_kind kind, const record_page& page) override;
+    void on_changes(record_kind kind, const record_page& page) override;
+    void on_store_recovered(record_kind kind, core::duration outage) override;
+    void on_store_restored(record_kind kind) override;
+    void on_upstream_leaving(const std::string& upstream) override;
+    boost::asio::awaitable<void> handle(
+        std::string peer, wire::frame message, std::shared_ptr<wire::responder> responder) override;
+
+private:
+    /*! @brief Broadcasts the pending updates to the peers, if this node is an exact reader of the store. */
+    void broadcast_updates();
+    /*! @brief Applies store updates that a peer has broadcast. */
+    void apply_updates(const wire::store_news& updates);
+    /*! @brief Returns the freshness with which this node has to watch the store at present. */
+    [[nodiscard]] freshness watch_freshness() const;
+    void apply_upstream(const record_change& change);
+    /*! @brief Puts a configuration into force and announces it, unless this node has it or a newer one. */
+    void apply_configuration(configuration value, std::string_view source);
+    void apply_lease(const record_change& change, std::uint64_t epoch);
+    /*! @brief Marks the upstreams that peers have announced as leaving, which the store may not show. */
+    void apply_announced_leaving();
+    /*! @brief Logs that an upstream is leaving or was removed, and announces a leaving one to the peers. */
+    void announce_leaving(const std::string& id, std::string_view source);
+    void start_watcher(
+        record_kind kind, std::chrono::milliseconds timeout, std::chrono::milliseconds delay_after_changes);
+    /*! @brief Periodically removes expired upstreams and flushes the log. */
+    [[nodiscard]] boost::asio::awaitable<void> run_housekeeping();
+
+    entry_node_context context;
+    entry_settings settings;
+    std::uint64_t boot_id;
+
+    operate::metrics_registry metrics;
+    instrumented_log log;
+    instrumented_store store;
+    route_table routes{};
+    upstream_table upstreams{};
+    upstream_selector selector;
+    retry_budget budget;
+    std::shared_ptr<cluster::membership_service> membership;
+    upstream_limits limits;
+    cluster::peer_directory peers;
+    cluster::quarantine_service quarantine;
+    crash_verifier verifier{crash_verifier_options{.crashes_until_quarantine = internal::crashes_until_quarantine,
+        .suspect_duration = internal::suspect_duration}};
+    prompt_part_guard prompt_parts;
+    std::shared_ptr<placement_service> placement;
+    std::shared_ptr<dispatch_service> dispatch;
+    std::shared_ptr<configuration_sync> configuration_updates;
+    forwarder request_forwarder;
+    readiness_handler readiness;
+    metrics_handler metrics_endpoint;
+    http::server caller_server;
+    http::server readiness_server;
+    http::server metrics_server;
+    wire::peer_server peer_server;
+    store_backoff shared_backoff;
+    std::vector<std::unique_ptr<record_watcher>> watchers{};
+    /*! @brief What was read from the store since the last broadcast to the peers. */
+    wire::store_news pending_updates{};
+    core::time_point started{};
+    bool upstreams_known{false};
+    bool stopping{false};
+};
+
+} // namespace lagoonsaddle::edge
+
+#endif
