edge: do not take crashes back while entries in the store do not expire

What callers saw: during an outage of the store, requests that crash engines came through again after 6 s. Cause: a crash does not count when its engine is still registered 6 s later. During an outage no entry expires, so that each crash was taken back; a cause that the quarantine of whole requests shares. Change: upstream_table is not current while the store has not answered for 4 s, and for 6 s after its return; then no crash is taken back.

--- a/src/lagoonsaddle/edge/crash_verifier.cpp
+++ b/src/lagoonsaddle/edge/crash_verifier.cpp
@@ -7,6 +7,9 @@
 
 std::vector<std::uint64_t> crash_ids_of_running(const upstream_table& upstreams) {
     std::vector<std::uint64_t> ids{};
+    if(!upstreams.is_current()) {
+        return ids;
+    }
     ids.reserve(upstreams.all().size());
     for(const auto& [id, upstream] : upstreams.all()) {
         ids.push_back(policy::crash_quarantine::crash_id(id, std::to_string(upstream.entry.started_ms)));
--- a/src/lagoonsaddle/edge/crash_verifier.hpp
+++ b/src/lagoonsaddle/edge/crash_verifier.hpp
@@ -19,7 +19,8 @@
     std::chrono::milliseconds entry_ttl{6'000};
 };
 
-/*! @brief Returns the crash ids that the registered incarnations of upstreams would have, sorted. */
+/*! @brief Returns the crash ids that the registered incarnations of upstreams would have, sorted; none while the table
+ * is not current. */
 [[nodiscard]] std::vector<std::uint64_t> crash_ids_of_running(const upstream_table& upstreams);
 
 /**
--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -29,6 +30,10 @@
 /*! @brief The node exits this long before the end of the stop timeout, even with requests in progress. */
 constexpr milliseconds exit_margin{400};
 constexpr milliseconds stop_poll_interval{50};
+/*! @brief Time without an answer of the store after which it is taken for away; longer than a watch and its delay. */
+constexpr milliseconds store_silence_max{4'000};
+/*! @brief Time after the return of the store in which entries of upstreams that ended during its outage expire. */
+constexpr milliseconds entry_expiry_time{6'000};
 /*! @brief Time after the stop signal from which requests that may outlast the process are refused. */
 constexpr milliseconds long_request_refusal_delay{2'400};
 /*! @brief Delay after a watch that returned changed upstreams, which the store bills one by one. */
@@ -207,12 +212,22 @@
            this->configuration_updates->state() != configuration_state::unknown;
 }
 
+bool entry_node::impl::entries_expire() const {
+    const auto now = this->context.clock.now();
+    const auto watcher = std::ranges::find_if(
+        this->watchers, [](const auto& candidate) { return candidate->kind() == record_kind::upstreams; });
+    const auto last_success = watcher == this->watchers.end() ? std::nullopt : (*watcher)->last_success();
+    const bool answering = last_success && now - *last_success < store_silence_max;
+    return answering && (!this->store_returned || now - *this->store_returned >= entry_expiry_time);
+}
+
 asio::awaitable<void> entry_node::impl::run_housekeeping() {
     while(true) {
         co_await sleep_for(housekeeping_interval);
         for(const auto& id : this->upstreams.remove_expired(this->context.clock.now())) {
             this->log.write(log_line{"upstream_gone"}.add("upstream", id).add("reason", "missing_after_outage"));
         }
+        this->upstreams.set_current(this->entries_expire());
         this->limits.update_nodes();
         this->prompt_parts.expire();
         this->context.log.flush();
--- a/src/lagoonsaddle/edge/entry_node_records.cpp
+++ b/src/lagoonsaddle/edge/entry_node_records.cpp
@@ -172,6 +172,7 @@
 
 void entry_node::impl::on_store_recovered(record_kind kind, core::duration outage) {
     if(kind == record_kind::upstreams && outage >= expiring_outage_min) {
+        this->store_returned = this->context.clock.now();
         this->upstreams.on_store_recovered(this->context.clock.now());
     }
 }
--- a/src/lagoonsaddle/edge/internal_entry_node.hpp
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -71,6 +72,8 @@
     void announce_leaving(const std::string& id, std::string_view source);
     void start_watcher(
         record_kind kind, std::chrono::milliseconds timeout, std::chrono::milliseconds delay_after_changes);
+    /*! @brief Returns whether the store answers and has removed the entries of upstreams that ended before. */
+    [[nodiscard]] bool entries_expire() const;
     /*! @brief Periodically removes expired upstreams and flushes the log. */
     [[nodiscard]] boost::asio::awaitable<void> run_housekeeping();
 
@@ -107,6 +110,8 @@
     /*! @brief What was read from the store since the last broadcast to the peers. */
     wire::store_news pending_updates{};
     core::time_point started{};
+    /*! @brief When the store last returned from an outage. */
+    std::optional<core::time_point> store_returned{};
     bool upstreams_known{false};
     bool stopping{false};
 };
--- a/src/lagoonsaddle/edge/upstream_table.hpp
+++ b/src/lagoonsaddle/edge/upstream_table.hpp
@@ -94,6 +94,19 @@
      * before. */
     bool mark_leaving(std::string_view id, std::uint64_t started_ms);
 
+    /**
+     * @brief Sets whether entries of upstreams that have ended are removed at present.
+     * @param value False while the store is away, and until entries could have expired since.
+     */
+    void set_current(bool value) noexcept {
+        this->current = value;
+    }
+
+    /*! @brief Returns whether an entry shows that its upstream lives. */
+    [[nodiscard]] bool is_current() const noexcept {
+        return this->current;
+    }
+
     /*! @brief Starts the grace period for missing entries, because the store has recovered from an outage. */
     void on_store_recovered(core::time_point now) noexcept;
 
@@ -131,6 +144,7 @@
     /*! @brief Returns the removed incarnation that an entry belongs to, or null. */
     [[nodiscard]] const removed_upstream* find_removed(const upstream_entry& entry) const;
 
+    bool current{true};
     upstream_map upstreams{};
     std::map<std::string, removed_upstream, std::less<>> removed_upstreams{};
     core::time_point grace_until{core::time_point::min()};
--- a/test/edge/crash_verifier_test.cpp
+++ b/test/edge/crash_verifier_test.cpp
@@ -77,4 +77,14 @@
     CHECK_FALSE(this->confirms_quarantine());
 }
 
+// Guards against ending a quarantine during an outage of the store, when entries of crashed upstreams do not expire.
+TEST_CASE_FIXTURE(crash_verifier_fixture, "confirms_quarantine_table_not_current_returns_true") {
+    this->break_connections();
+    this->unix_now += 7s;
+    this->upstreams.set_current(false);
+    CHECK(this->confirms_quarantine());
+    this->upstreams.set_current(true);
+    CHECK_FALSE(this->confirms_quarantine());
+}
+
 } // namespace lagoonsaddle::edge
