--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -308,7 +308,8 @@
     const auto usage = read_process_usage();
     gauge("lagoonsaddle_edge_processor_seconds", "Processor time since the start.", usage.processor_seconds);
     gauge("lagoonsaddle_edge_resident_bytes", "Resident memory.", usage.resident_bytes);
-    gauge("lagoonsaddle_edge_prompt_parts_recorded", "Prompt parts with recorded crashes of upstreams.",
+    gauge("lagoonsaddle_edge_prompt_parts_recorded",
+        "Prompt parts that were in flight in a crash of an upstream, including cleared ones.",
         static_cast<double>(this->prompt_parts.record_count()));
     gauge("lagoonsaddle_edge_reservations", "Requests that this node has placed for all nodes.",
         static_cast<double>(this->dispatch->reservation_count()));
--- a/src/lagoonsaddle/edge/prompt_part_guard.cpp
+++ b/src/lagoonsaddle/edge/prompt_part_guard.cpp
@@ -19,7 +19,7 @@
 
 constexpr std::string_view item_kind{"prompt_part"};
 /*! @brief Time for which membership items about a part are kept. */
-constexpr std::chrono::minutes item_lifetime{30};
+constexpr milliseconds item_lifetime{policy::prompt_part_quarantine_options{}.retention};
 /*! @brief Crashes from which a part is published: parts with one crash are many, and most are cleared at once. */
 constexpr std::size_t published_crashes_min{2u};
 /*! @brief Time between the turns of two nodes to probe a part, and between two probes of one node. */
@@ -29,7 +29,7 @@
 /*! @brief Shortest time to return for a caller whose request is refused. */
 constexpr milliseconds retry_after_min{1'000};
 
-/*! @brief Number that grows with each change of a record, as the version of its item. */
+/*! @brief Returns a number that grows with each change of a record. */
 [[nodiscard]] std::uint64_t item_version(const policy::prompt_part_record& record) {
     constexpr std::uint64_t versions_per_ms{16u};
     const auto at = record.crashes.empty() ? record.cleared_until : record.crashes.back().at;
@@ -150,9 +150,12 @@
     if(item.kind != item_kind) {
         return;
     }
-    if(auto state = wire::unpack<wire::prompt_part_state>(item.value)) {
-        this->merge(from_wire(std::move(*state)), "membership");
+    auto state = wire::unpack<wire::prompt_part_state>(item.value);
+    if(!state) {
+        this->context.log.write(log_line{"prompt_part"}.add("part", item.key).add("outcome", "malformed"));
+        return;
     }
+    this->merge(from_wire(std::move(*state)), "membership");
 }
 
 void prompt_part_guard::merge(const policy::prompt_part_record& record, std::string_view source) {
--- a/src/lagoonsaddle/edge/prompt_part_guard.hpp
+++ b/src/lagoonsaddle/edge/prompt_part_guard.hpp
@@ -74,7 +74,7 @@
     /*! @brief Removes expired records. */
     void expire();
 
-    /*! @brief Returns the number of parts with recorded crashes or answers after them. */
+    /*! @brief Returns the number of parts with records, of cleared ones as well. */
     [[nodiscard]] std::size_t record_count() const noexcept {
         return this->quarantine.record_count();
     }
--- a/src/lagoonsaddle/operate/log_timeline.cpp
+++ b/src/lagoonsaddle/operate/log_timeline.cpp
@@ -70,7 +70,8 @@
     reason_explanation{"timeout", "the upstream, or the load of the adapter, did not finish in time"},
     reason_explanation{"deadline_exceeded", "the deadline passed before an upstream could answer"},
     reason_explanation{"protocol_error", "the response of the upstream was invalid or did not belong to the request"},
-    reason_explanation{"quarantined", "requests with this body crashed the upstreams that ran them"},
+    reason_explanation{
+        "quarantined", "requests with this body, or with a part of its prompt, crashed the upstreams that ran them"},
     reason_explanation{"not_found", "no route of the configuration in force matches the host and path"},
     reason_explanation{"invalid_argument", "a field of the request is not valid"},
     reason_explanation{"cancelled", "the caller closed its connection"},
--- a/src/lagoonsaddle/policy/prompt_part_quarantine.hpp
+++ b/src/lagoonsaddle/policy/prompt_part_quarantine.hpp
@@ -106,13 +106,13 @@
     [[nodiscard]] std::optional<quarantined_prompt_part> find_quarantined(std::span<const std::string> parts,
         std::span<const std::uint64_t> running, std::chrono::milliseconds now) const;
 
-    /*! @brief Returns whether a part has enough crashes that `find_quarantined` may return it. */
+    /*! @brief Returns whether one of the parts has so many crashes that `find_quarantined` may return it. */
     [[nodiscard]] bool is_suspect(std::span<const std::string> parts) const;
 
     /*! @brief Returns the record of a part, or null. Valid until the next call that is not const. */
     [[nodiscard]] const prompt_part_record* find(const std::string& part) const;
 
-    /*! @brief Returns the number of parts with crashes that count. */
+    /*! @brief Returns the number of records, of cleared parts as well. */
     [[nodiscard]] std::size_t record_count() const noexcept {
         return this->records.size();
     }
