edge, http: log the number of events of a stream and how its end is marked

The log could not tell a stream without one event from a served one, nor an answer that only the end of its connection ends from one with a length or chunks. Change: response_stream::close_delimited, event_splitter::event_count; `events` and `framing` in event=attempt and event=request. No decision depends on the new values yet.

--- a/src/lagoonsaddle/edge/event_splitter.cpp
+++ b/src/lagoonsaddle/edge/event_splitter.cpp
@@ -15,7 +15,7 @@
         const auto line = std::string_view{this->pending}.substr(this->line_begin, end - this->line_begin);
         searched = end + 1u;
         this->line_begin = searched;
-        if(line.empty() || line == "\r") {
+        if(this->end_line(line)) {
             length = searched;
         }
     }
@@ -26,6 +26,16 @@
     return events;
 }
 
+bool event_splitter::end_line(std::string_view line) noexcept {
+    if(!line.empty() && line != "\r") {
+        this->block_has_field = this->block_has_field || line.front() != ':';
+        return false;
+    }
+    this->complete_events += this->block_has_field ? 1u : 0u;
+    this->block_has_field = false;
+    return true;
+}
+
 std::string event_splitter::take_remainder() {
     this->line_begin = 0u;
     return std::exchange(this->pending, {});
--- a/src/lagoonsaddle/edge/event_splitter.hpp
+++ b/src/lagoonsaddle/edge/event_splitter.hpp
@@ -29,6 +29,11 @@
         return this->pending.find_first_not_of("\r\n") != std::string::npos;
     }
 
+    /*! @brief Returns the number of complete events so far. Blocks without a field, such as comments, are none. */
+    [[nodiscard]] std::size_t event_count() const noexcept {
+        return this->complete_events;
+    }
+
     /*! @brief Returns and removes the bytes after the last complete event. */
     [[nodiscard]] std::string take_remainder();
 
@@ -41,14 +46,20 @@
     void discard_partial_event() noexcept {
         this->pending.clear();
         this->line_begin = 0u;
+        this->block_has_field = false;
     }
 
 private:
+    /*! @brief Counts an event at the empty line that ends it; returns whether the line is empty. */
+    [[nodiscard]] bool end_line(std::string_view line) noexcept;
     void update_last_id(std::string_view events);
 
     std::string pending{};
     /*! @brief Position in `pending` of the first line whose end has not arrived. */
     std::size_t line_begin{};
+    /*! @brief Whether a line of the block that has begun holds a field. */
+    bool block_has_field{false};
+    std::size_t complete_events{};
     std::optional<std::uint64_t> last_event_id{};
 };
 
--- a/src/lagoonsaddle/edge/forwarder_log.cpp
+++ b/src/lagoonsaddle/edge/forwarder_log.cpp
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <span>
 #include <string>
+#include <string_view>
 
 #include <lagoonsaddle/edge/internal_exchange.hpp>
 
@@ -13,6 +14,11 @@
 
 constexpr double percent{100.0};
 
+/*! @brief Returns how the end of an upstream's response is marked. */
+[[nodiscard]] std::string_view framing_name(bool close_delimited) noexcept {
+    return close_delimited ? "close_delimited" : "delimited";
+}
+
 /*! @brief Joins texts with commas. */
 [[nodiscard]] std::string join(std::span<const std::string> values) {
     std::string result{};
@@ -69,6 +75,8 @@
                                 .add("result", result)
                                 .add("verdict", core::to_string(verdict))
                                 .add("answered", state.head_sent ? 1 : 0)
+                                .add("events", static_cast<std::int64_t>(state.splitter.event_count()))
+                                .add("framing", framing_name(state.close_delimited))
                                 .add("parts", join(state.metadata.shared_parts))
                                 .add("message", message));
 }
@@ -89,7 +97,9 @@
         .add("ms", to_ms(now - state.received_at).count());
     if(state.first_event_at) {
         line.add("first_ms", to_ms(*state.first_event_at - state.received_at).count())
-            .add("gap_ms", to_ms(state.event_gap_max).count());
+            .add("gap_ms", to_ms(state.event_gap_max).count())
+            .add("events", static_cast<std::int64_t>(state.splitter.event_count()))
+            .add("framing", framing_name(state.close_delimited));
     }
     if(state.outcome != "served") {
         line.add("reason", core::to_string(state.last_failure.cause)).add("message", state.last_failure.message);
--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -66,6 +66,7 @@
     exchange_state& state, const std::string& upstream, http::response_stream& upstream_response) {
     const auto head = this->context.format.parse_response_head(upstream_response.status(), upstream_response.headers());
     this->observe_upstream(state, upstream, head);
+    state.close_delimited = upstream_response.close_delimited();
     if(head.not_run && head.request_id.empty() && upstream_response.reused()) {
         upstream_response.close();
         co_return this->handle_failure(state, upstream,
--- a/src/lagoonsaddle/edge/internal_exchange.hpp
+++ b/src/lagoonsaddle/edge/internal_exchange.hpp
@@ -74,6 +74,8 @@
 
     bool head_sent{false};
     event_splitter splitter{};
+    /*! @brief Whether the last response of an upstream had neither a length nor chunks. */
+    bool close_delimited{false};
     std::optional<core::time_point> first_event_at{};
     core::time_point last_event_at{};
     /*! @brief Longest time between two writes of events to the caller. */
--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -170,6 +170,10 @@
         return this->from_pool;
     }
 
+    [[nodiscard]] bool close_delimited() const noexcept override {
+        return this->parser->need_eof();
+    }
+
     void start_timer(std::chrono::milliseconds timeout) {
         this->guard.start(timeout);
     }
--- a/src/lagoonsaddle/http/client.hpp
+++ b/src/lagoonsaddle/http/client.hpp
@@ -72,6 +72,8 @@
     [[nodiscard]] virtual const fields& headers() const noexcept = 0;
     /*! @brief Returns whether the connection has carried other exchanges before, whose responses may arrive late. */
     [[nodiscard]] virtual bool reused() const noexcept = 0;
+    /*! @brief Returns whether the body has neither a length nor chunks, so that the end of the connection ends it. */
+    [[nodiscard]] virtual bool close_delimited() const noexcept = 0;
 
     /**
      * @brief Reads the next piece of the body.
--- a/test/edge/event_splitter_test.cpp
+++ b/test/edge/event_splitter_test.cpp
@@ -31,6 +31,18 @@
     CHECK(splitter.take_remainder() == "\r");
 }
 
+// Guards against counting a comment or a line break, which an upstream sends to keep a connection open, as an event.
+TEST_CASE("event_count_comments_and_partial_events_are_not_counted") {
+    event_splitter splitter{};
+    static_cast<void>(splitter.feed(": ping\n\n\r\n"));
+    CHECK(splitter.event_count() == 0u);
+    static_cast<void>(splitter.feed("id: 1\n: note\ndata: a\n\nid: 2\nda"));
+    CHECK(splitter.event_count() == 1u);
+    splitter.discard_partial_event();
+    static_cast<void>(splitter.feed("\n"));
+    CHECK(splitter.event_count() == 1u);
+}
+
 // Guards against resuming after an event that was never delivered: a partial event must not set the last id.
 TEST_CASE("discard_partial_event_keeps_last_complete_id") {
     event_splitter splitter{};
