--- a/test/platform_node/broken_answer_test.py
+++ b/test/platform_node/broken_answer_test.py
@@ -17,6 +17,10 @@
 PLAIN_PATH = "/p/"
 PLAIN_CONFIGURATION = {**CONFIGURATION, "version": 2, "routes": [
     *CONFIGURATION["routes"], {**CONFIGURATION["routes"][0], "name": "p", "pathPrefix": PLAIN_PATH, "kind": "unsafe"}]}
+RESUMABLE_PATH = "/r/"
+RESUMABLE_CONFIGURATION = {**CONFIGURATION, "version": 2, "routes": [
+    *CONFIGURATION["routes"],
+    {**CONFIGURATION["routes"][0], "name": "r2", "pathPrefix": RESUMABLE_PATH, "resumable": True, "maxAttempts": 2}]}
 # Bounds of the platform: memory of a machine, and time beyond a deadline until the answer.
 MEMORY_MB = 260
 LATENESS_S = 0.5
@@ -68,6 +72,18 @@
         handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         handler.connection.close()
 
+    def answer_unframed_empty(self, handler):
+        self.send_unframed(handler, [])
+
+    def answer_unframed_comment(self, handler):
+        self.send_unframed(handler, [b": ping\n\n"])
+
+    def answer_reset_then_empty(self, handler):
+        if handler.headers["Last-Event-Id"]:
+            self.send_unframed(handler, [])
+        else:
+            self.answer_unframed_reset(handler)
+
     def answer_slow(self, handler):
         self.send_unframed(handler, self.events(handler), EVENT_INTERVAL_S)
 
@@ -110,7 +126,7 @@
             connection.sendall(answer)
 
 
-class BrokenAnswerTest(EntryNodeCase):
+class FaultyAnswerCase(EntryNodeCase):
     """One node before engines that answer all requests in one faulty way."""
 
     ENGINE_TYPE = FaultyEngine
@@ -131,6 +147,10 @@
             status, body = 0, None
         return status, body, time.monotonic() - begin
 
+
+class BrokenAnswerTest(FaultyAnswerCase):
+    """Answers without end, and answers that end early, come twice or come slowly."""
+
     def call_concurrently(self, mode, count, deadline_ms, path="/a/1"):
         """Sends requests at once; returns their results."""
         results = []
@@ -198,5 +218,21 @@
             return next(int(line.split()[1]) for line in status if line.startswith("VmHWM")) / 1024
 
 
+class EmptyStreamTest(FaultyAnswerCase):
+    """Streams without length and chunks whose connection ends before an event."""
+
+    def test_stream_without_event_does_not_look_complete(self):
+        """A 200 that ends before its first event, with only the end of its connection, must not look complete."""
+        for mode in ("unframed_empty", "unframed_comment"):
+            status, body, _ = self.call(mode)
+            self.assertFalse(status == 200 and body is not None, mode)
+
+    def test_resumed_stream_without_event_does_not_look_complete(self):
+        """A stream that breaks, and whose continuation ends before an event, must not look complete."""
+        self.store.put("config", "main", RESUMABLE_CONFIGURATION)
+        self.eventually(lambda: self.call("", path=RESUMABLE_PATH)[0] == 200, "the route is served")
+        self.assertIsNone(self.call("reset_then_empty", path=RESUMABLE_PATH)[1])
+
+
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
