edge: the end of a connection completes a stream only after an event

What callers saw: an empty 200, or a stream without its last events, that is framed as complete. Cause: forwarder took the end of a close-delimited response for the end of its stream whenever no event was pending. An upstream that fails after the head of its response, or that a stream goes on at and that fails before its first event, looks the same. Class: the absence of an error is taken for a proof of completeness. Change: event_splitter::is_complete decides by the framing and by the events of the current response; the splitter is told where a response begins. Such an end is handled as a lost connection, which it is: the stream goes on elsewhere where its route allows it, is answered 502, or is broken off. Why it works: a response with a length or chunks states its own end, also without an event; one that is close-delimited is now complete only when an event of its own has arrived and none is pending.

--- a/src/lagoonsaddle/edge/event_splitter.cpp
+++ b/src/lagoonsaddle/edge/event_splitter.cpp
@@ -36,6 +36,19 @@
     return true;
 }
 
+bool event_splitter::is_complete(bool close_delimited) const noexcept {
+    const bool inside_event = this->pending.find_first_not_of("\r\n") != std::string::npos;
+    const bool has_event = this->complete_events > this->earlier_events;
+    return !inside_event && (!close_delimited || has_event);
+}
+
+void event_splitter::begin_response() noexcept {
+    this->pending.clear();
+    this->line_begin = 0u;
+    this->block_has_field = false;
+    this->earlier_events = this->complete_events;
+}
+
 std::string event_splitter::take_remainder() {
     this->line_begin = 0u;
     return std::exchange(this->pending, {});
--- a/src/lagoonsaddle/edge/event_splitter.hpp
+++ b/src/lagoonsaddle/edge/event_splitter.hpp
@@ -24,10 +24,15 @@
         return this->pending.size();
     }
 
-    /*! @brief Returns whether an event has begun and is not complete. Line breaks between events begin none. */
-    [[nodiscard]] bool is_inside_event() const noexcept {
-        return this->pending.find_first_not_of("\r\n") != std::string::npos;
-    }
+    /**
+     * @brief Returns whether a response that has ended holds all events that its upstream had to send.
+     *
+     * A stream that ends inside an event has been broken off. Line breaks between events begin none. The end of a
+     * connection completes a stream only after an event: an upstream that fails before it looks the same.
+     *
+     * @param close_delimited Whether nothing but the end of the connection has ended the response.
+     */
+    [[nodiscard]] bool is_complete(bool close_delimited) const noexcept;
 
     /*! @brief Returns the number of complete events so far. Blocks without a field, such as comments, are none. */
     [[nodiscard]] std::size_t event_count() const noexcept {
@@ -42,12 +47,8 @@
         return this->last_event_id;
     }
 
-    /*! @brief Discards the bytes after the last complete event. */
-    void discard_partial_event() noexcept {
-        this->pending.clear();
-        this->line_begin = 0u;
-        this->block_has_field = false;
-    }
+    /*! @brief Starts a response that goes on after the last complete event; discards the bytes after that event. */
+    void begin_response() noexcept;
 
 private:
     /*! @brief Counts an event at the empty line that ends it; returns whether the line is empty. */
@@ -60,6 +61,8 @@
     /*! @brief Whether a line of the block that has begun holds a field. */
     bool block_has_field{false};
     std::size_t complete_events{};
+    /*! @brief Number of complete events before the current response. */
+    std::size_t earlier_events{};
     std::optional<std::uint64_t> last_event_id{};
 };
 
--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -180,10 +180,10 @@
             }
             continue;
         }
-        if(state.splitter.is_inside_event()) {
+        if(!state.splitter.is_complete(upstream_response.close_delimited())) {
             upstream_response.close();
-            co_return core::fail(
-                core::reason::connection_lost, core::verdict::may_have_run, "the stream ended inside an event");
+            co_return core::fail(core::reason::connection_lost, core::verdict::may_have_run,
+                "the stream ended before or inside an event");
         }
         co_return state.splitter.take_remainder();
     }
@@ -230,7 +230,7 @@
 
 asio::awaitable<forwarder::attempt_result> forwarder::relay_stream(
     exchange_state& state, const std::string& upstream, http::response_stream& upstream_response) {
-    state.splitter.discard_partial_event();
+    state.splitter.begin_response();
     bool ended{false};
     while(!ended) {
         auto events = co_await this->read_events(state, upstream_response);
--- a/test/edge/event_splitter_test.cpp
+++ b/test/edge/event_splitter_test.cpp
@@ -16,18 +16,18 @@
     }
     CHECK(events == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
     CHECK(splitter.last_id() == 2u);
-    CHECK(splitter.is_inside_event());
+    CHECK_FALSE(splitter.is_complete(false));
     CHECK(splitter.take_remainder() == "id: 3\ndata: c");
-    CHECK_FALSE(splitter.is_inside_event());
+    CHECK(splitter.is_complete(false));
 }
 
 // Guards against taking a stream with line breaks after its last event for one that was broken off.
-TEST_CASE("is_inside_event_line_breaks_after_event_returns_false") {
+TEST_CASE("is_complete_line_breaks_after_event_returns_true") {
     event_splitter splitter{};
     CHECK(splitter.feed("data: a\n\n") == "data: a\n\n");
     CHECK(splitter.feed("\r\n") == "\r\n");
     CHECK(splitter.feed("\r").empty());
-    CHECK_FALSE(splitter.is_inside_event());
+    CHECK(splitter.is_complete(true));
     CHECK(splitter.take_remainder() == "\r");
 }
 
@@ -38,16 +38,30 @@
     CHECK(splitter.event_count() == 0u);
     static_cast<void>(splitter.feed("id: 1\n: note\ndata: a\n\nid: 2\nda"));
     CHECK(splitter.event_count() == 1u);
-    splitter.discard_partial_event();
+    splitter.begin_response();
     static_cast<void>(splitter.feed("\n"));
     CHECK(splitter.event_count() == 1u);
 }
 
+// Guards against taking the end of a connection before the first event of a response for the end of its stream.
+TEST_CASE("is_complete_close_delimited_response_without_event_returns_false") {
+    event_splitter splitter{};
+    CHECK(splitter.is_complete(false));
+    CHECK_FALSE(splitter.is_complete(true));
+    static_cast<void>(splitter.feed("id: 1\ndata: a\n\n"));
+    CHECK(splitter.is_complete(true));
+    splitter.begin_response();
+    CHECK(splitter.is_complete(false));
+    CHECK_FALSE(splitter.is_complete(true));
+    static_cast<void>(splitter.feed(": ping\n\n"));
+    CHECK_FALSE(splitter.is_complete(true));
+}
+
 // Guards against resuming after an event that was never delivered: a partial event must not set the last id.
-TEST_CASE("discard_partial_event_keeps_last_complete_id") {
+TEST_CASE("begin_response_keeps_last_complete_id") {
     event_splitter splitter{};
     CHECK(splitter.feed("id: 4\ndata: x\n\nid: 5\nda") == "id: 4\ndata: x\n\n");
-    splitter.discard_partial_event();
+    splitter.begin_response();
     CHECK(splitter.last_id() == 4u);
     CHECK(splitter.feed("id: 5\ndata: y\n\n") == "id: 5\ndata: y\n\n");
     CHECK(splitter.last_id() == 5u);
