http: a stream for an HTTP/1.0 caller ends with its connection, and with a reset when it is broken off

What callers saw: an HTTP/1.0 caller got the chunk framing inside its body, and an orderly end of the connection when the stream was broken off. Cause: server sent every streamed response in chunks, which HTTP/1.0 does not have, and closed each connection alike. Found while looking for the same cause as the empty streams elsewhere: who reads the end of a connection as the end of a body must be able to tell a broken-off one. Change: without chunks for HTTP/1.0; a body that lacks its end is followed by a reset, whoever closes the connection. A node that is killed still ends such a connection in an orderly way; only a length would show that.

--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -53,7 +53,12 @@
     void close() noexcept {
         this->open = false;
         boost::system::error_code ignored{};
-        this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        if(this->close_delimited && this->body_unfinished) {
+            // An orderly end would complete the body: the connection is reset instead.
+            this->stream.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
+        } else {
+            this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        }
         this->stream.socket().close(ignored);
     }
 
@@ -78,13 +83,16 @@
 
     asio::awaitable<core::result<void>> begin(unsigned status, fields headers) override {
         this->has_started = true;
-        this->chunked = true;
+        this->body_unfinished = true;
+        // HTTP/1.0 has no chunks: the end of the connection ends the body.
+        this->close_delimited = this->http_version < http_1_1;
+        this->keep_alive = this->keep_alive && !this->close_delimited;
         beast_http::response<beast_http::empty_body> head{static_cast<beast_http::status>(status), this->http_version};
         for(const auto& [name, value] : headers) {
             head.set(beast_view(name), beast_view(value));
         }
         head.keep_alive(this->keeps_alive());
-        head.chunked(true);
+        head.chunked(!this->close_delimited);
         beast_http::response_serializer<beast_http::empty_body> serializer{head};
         boost::system::error_code failure{};
         co_await beast_http::async_write_header(
@@ -96,6 +104,9 @@
         boost::system::error_code failure{};
         if(!this->open) {
             failure = asio::error::not_connected;
+        } else if(this->close_delimited) {
+            co_await asio::async_write(this->stream, asio::buffer(data.data(), data.size()),
+                asio::redirect_error(asio::use_awaitable, failure));
         } else {
             co_await asio::async_write(this->stream, beast_http::make_chunk(asio::buffer(data.data(), data.size())),
                 asio::redirect_error(asio::use_awaitable, failure));
@@ -105,9 +116,11 @@
 
     asio::awaitable<core::result<void>> finish() override {
         boost::system::error_code failure{};
-        co_await asio::async_write(
-            this->stream, beast_http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, failure));
-        this->chunked = false;
+        if(!this->close_delimited) {
+            co_await asio::async_write(
+                this->stream, beast_http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, failure));
+        }
+        this->body_unfinished = false;
         co_return this->outcome(failure);
     }
 
@@ -202,7 +215,8 @@
         this->keep_alive = head.keep_alive();
         this->http_version = head.version();
         this->has_started = false;
-        this->chunked = false;
+        this->body_unfinished = false;
+        this->close_delimited = false;
         request message{.method = std::string{head.method_string()},
             .target = std::string{head.target()},
             .headers = copy_fields(head),
@@ -214,7 +228,7 @@
         --this->owner->active;
         this->handling = false;
         this->disconnect_callback = nullptr;
-        co_return this->open && !this->chunked && this->keeps_alive();
+        co_return this->open && !this->body_unfinished && this->keeps_alive();
     }
 
     asio::awaitable<void> handle(request message) {
@@ -262,6 +276,8 @@
         }
     }
 
+    /*! @brief HTTP/1.1 as a number of Beast. */
+    static constexpr unsigned http_1_1{11u};
     static constexpr std::string_view continue_head{"HTTP/1.1 100 Continue\r\n\r\n"};
     static constexpr std::size_t read_size{4'096u};
     static constexpr std::size_t reject_drain_limit{64u * 1024u * 1024u};
@@ -271,11 +287,14 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer{};
     std::function<void()> disconnect_callback{};
-    unsigned http_version{11u};
+    unsigned http_version{http_1_1};
     bool open{true};
     bool keep_alive{true};
     bool has_started{false};
-    bool chunked{false};
+    /*! @brief Whether a body that `begin` has started lacks its end. */
+    bool body_unfinished{false};
+    /*! @brief Whether the end of the connection ends the body that `begin` has started. */
+    bool close_delimited{false};
     bool handling{false};
     bool watching{false};
 };
--- a/src/lagoonsaddle/http/server.hpp
+++ b/src/lagoonsaddle/http/server.hpp
@@ -34,7 +34,8 @@
     virtual boost::asio::awaitable<core::result<void>> send(response message) = 0;
 
     /**
-     * @brief Starts a chunked response.
+     * @brief Starts a response whose body is sent piece by piece: in chunks, or to an HTTP/1.0 peer until the
+     * connection ends.
      * @param status Status code.
      * @param headers Header fields.
      * @return Nothing, or `connection_lost`.
@@ -42,14 +43,14 @@
     virtual boost::asio::awaitable<core::result<void>> begin(unsigned status, fields headers) = 0;
 
     /**
-     * @brief Sends one chunk. `begin` comes first.
-     * @param data Bytes of the chunk; must stay valid until the operation completes.
+     * @brief Sends a piece of the body. `begin` comes first.
+     * @param data Bytes of the piece; must stay valid until the operation completes.
      * @return Nothing, or `connection_lost`.
      */
     virtual boost::asio::awaitable<core::result<void>> write(std::string_view data) = 0;
 
     /**
-     * @brief Ends a chunked response.
+     * @brief Ends a response that `begin` has started.
      * @return Nothing, or `connection_lost`.
      */
     virtual boost::asio::awaitable<core::result<void>> finish() = 0;
--- a/test/http/loopback_test.cpp
+++ b/test/http/loopback_test.cpp
@@ -88,16 +88,21 @@
             exchange_timeout));
     }
 
-    std::string raw_exchange(std::string_view text) {
+    /*! @brief Sends a text and returns what arrives until the connection ends; `end` receives how it ended. */
+    std::string raw_exchange(std::string_view text, boost::system::error_code& end) {
         asio::ip::tcp::socket socket{this->context};
         socket.connect({asio::ip::make_address("127.0.0.1"), this->listener.port()});
-        boost::system::error_code ignored{};
-        asio::write(socket, asio::buffer(text.data(), text.size()), ignored);
+        asio::write(socket, asio::buffer(text.data(), text.size()), end);
         std::string answer{};
-        asio::read(socket, asio::dynamic_buffer(answer), ignored);
+        asio::read(socket, asio::dynamic_buffer(answer), end);
         return answer;
     }
 
+    std::string raw_exchange(std::string_view text) {
+        boost::system::error_code ignored{};
+        return this->raw_exchange(text, ignored);
+    }
+
     asio::io_context context{};
     asio::executor_work_guard<asio::io_context::executor_type> work{this->context.get_executor()};
     echo_handler target{};
@@ -188,6 +193,17 @@
     CHECK(answer.find("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200") == 0u);
 }
 
+// Guards against chunk framing in the body for an HTTP/1.0 caller, which knows none, and against a broken-off body that
+// looks complete because only the end of the connection ends it.
+TEST_CASE_FIXTURE(loopback_fixture, "server_stream_for_http_1_0_caller_is_close_delimited_and_reset_when_aborted") {
+    const auto answer = this->raw_exchange("GET /chunks HTTP/1.0\r\nhost: a\r\n\r\n");
+    CHECK(answer.find("chunked") == std::string::npos);
+    CHECK(answer.ends_with("\r\n\r\none two three"));
+    boost::system::error_code end{};
+    static_cast<void>(this->raw_exchange("GET /truncated HTTP/1.0\r\nhost: a\r\n\r\n", end));
+    CHECK(end == asio::error::connection_reset);
+}
+
 // Guards against a planned stop that refuses connections which the balancer still sends, or keeps them open.
 TEST_CASE_FIXTURE(loopback_fixture, "server_drain_answers_and_closes_connection") {
     this->listener.begin_drain();
