--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -45,7 +45,7 @@
 ENDLESS_PIECE = b"x" * 16_384
 SECOND_COPY_DELAY_S = 0.03
 # Ways in which an engine spoils the answers that it has begun.
-ANSWER_FAULTS = ("half_event", "unframed", "unframed_half_event", "endless", "second_copy", "trickle")
+ANSWER_FAULTS = ("half_event", "unframed", "unframed_half_event", "unframed_empty", "endless", "second_copy", "trickle")
 
 
 ANSWER_FAULT_SHARE = 0.3
@@ -383,6 +383,8 @@
         sent = [("HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items()) +
                  "\r\n").encode()]
         handler.wfile.write(sent[0])
+        if fault == "unframed_empty":
+            return False
         for number in range(1, EVENTS_PER_STREAM + 1):
             if not self.running or self.incarnation != incarnation:
                 handler.close_connection = True
