edge, platform: read and log software versions of upstreams and the requests that callers resume

Entries state the version of an upstream's software and callers name the request that began a stream; neither was read, so that the log could not tell the hypotheses apart. Change: upstream_entry::software_version (any value as text), request_metadata::resumed_request; `software_version` in event=upstream_added and event=sent, `resumes` and `resume_after` in event=request. No decision depends on the new values yet. Conclusion: a stream that goes on at another version shows in event=sent, and whether its caller resumed it.

--- a/src/lagoonsaddle/edge/entry_node_records.cpp
+++ b/src/lagoonsaddle/edge/entry_node_records.cpp
@@ -80,6 +80,7 @@
                             .add("upstream", entry->id)
                             .add("service", entry->service)
                             .add("zone", entry->availability_zone)
+                            .add("software_version", entry->software_version)
                             .add("address", core::to_string(entry->address)));
     }
     const bool is_leaving =
--- a/src/lagoonsaddle/edge/forwarder_log.cpp
+++ b/src/lagoonsaddle/edge/forwarder_log.cpp
@@ -58,7 +58,8 @@
     if(known != nullptr) {
         const auto share = known->health.failure_ratio(this->context.clock.now());
         line.add("in_flight", static_cast<std::int64_t>(known->in_flight))
-            .add("failure_percent", static_cast<std::int64_t>(share * percent));
+            .add("failure_percent", static_cast<std::int64_t>(share * percent))
+            .add("software_version", known->entry.software_version);
     }
     if(state.splitter.last_id()) {
         line.add("resume_after", static_cast<std::int64_t>(*state.splitter.last_id()));
@@ -101,6 +102,10 @@
             .add("events", static_cast<std::int64_t>(state.splitter.event_count()))
             .add("framing", framing_name(state.close_delimited));
     }
+    if(!state.metadata.resumed_request.empty()) {
+        line.add("resumes", state.metadata.resumed_request)
+            .add("resume_after", static_cast<std::int64_t>(state.metadata.last_event_id.value_or(0u)));
+    }
     if(state.outcome != "served") {
         line.add("reason", core::to_string(state.last_failure.cause)).add("message", state.last_failure.message);
     }
--- a/src/lagoonsaddle/edge/types.hpp
+++ b/src/lagoonsaddle/edge/types.hpp
@@ -88,6 +88,8 @@
     /*! @brief Start time as Unix time in milliseconds; 0 when not stated. Identifies the incarnation, as it changes
      * with each start while the id does not. */
     std::uint64_t started_ms{};
+    /*! @brief Version of the upstream's software; empty when not stated. */
+    std::string software_version{};
     /*! @brief Load and unload orders accepted since the start. */
     std::uint64_t orders_accepted{};
     std::map<std::string, resident_model> models{};
@@ -124,7 +126,12 @@
     std::uint64_t shared_tokens{};
     /*! @brief Ids of the prompt parts that other requests may hold as well, without repetition. */
     std::vector<std::string> shared_parts{};
+    /*! @brief Last event that the caller has of a stream that it resumes. */
     std::optional<std::uint64_t> last_event_id{};
+    /*! @brief Id of the request that brought the first event of a stream which the caller resumes; empty when not
+     * stated.
+     */
+    std::string resumed_request{};
 };
 
 /*! @brief Fields of an upstream's response head that describe how the request was handled. */
--- a/test/host_platform/record_codec_test.cpp
+++ b/test/host_platform/record_codec_test.cpp
@@ -1,8 +1,12 @@
 #include <platform/record_codec.hpp>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <doctest/doctest.h>
 
+#include <lagoonsaddle/core/hash.hpp>
+
 namespace lagoonsaddle::host_platform {
 
 namespace {
@@ -40,6 +44,20 @@
     CHECK(change.revision == 9u);
 }
 
+// Guards against taking upstreams for equal, or skipping an entry, because a version is no string.
+TEST_CASE("decode_object_upstreams_returns_any_software_version_as_text") {
+    const std::string long_version(100u, 'v');
+    for(const auto& [stated, expected] :
+        std::vector<std::pair<std::string, std::string>>{{R"("v1.1")", "v1.1"}, {"2", "2"}, {"1.5", "1.5"},
+            {"null", ""}, {"[1,2]", "[1,2]"}, {R"("")", ""}, {'"' + long_version + '"', core::digest(long_version)}}) {
+        CAPTURE(stated);
+        const auto change = decode(edge::record_kind::upstreams,
+            R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","version":)" + stated + "}");
+        REQUIRE(std::holds_alternative<edge::upstream_entry>(change.value));
+        CHECK(std::get<edge::upstream_entry>(change.value).software_version == expected);
+    }
+}
+
 TEST_CASE("decode_object_configuration_returns_routes_and_services") {
     const auto change = decode_object(edge::record_kind::configuration, nlohmann::json::parse(R"({
         "metadata": {"name": "main", "revision": 3},
--- a/test/host_platform/request_format_test.cpp
+++ b/test/host_platform/request_format_test.cpp
@@ -71,6 +71,20 @@
     CHECK(read(std::string(1'000u, 'a') + ":1,e440:250").front().size() == 32u);
 }
 
+// Guards against losing the request that a resumed stream began with, also when the caller names the field in
+// `Connection`.
+TEST_CASE_FIXTURE(request_format_fixture, "parse_request_resumed_stream_returns_first_request_and_last_event") {
+    CHECK(this->format.parse_request(this->request)->resumed_request.empty());
+    this->request.headers.set("Connection", "Resumes");
+    this->request.headers.set("Resumes", " r0 ");
+    this->request.headers.set("Last-Event-Id", "12");
+    const auto read = this->format.parse_request(this->request);
+    REQUIRE(read.has_value());
+    CHECK(read->resumed_request == "r0");
+    CHECK(read->last_event_id == 12u);
+    CHECK(this->format.make_upstream_request(this->request, this->metadata).headers.find("resumes").has_value());
+}
+
 // Guards against forwarding internal fields that a caller set, and against a caller that has end-to-end fields removed
 // by naming them in `Connection`.
 TEST_CASE_FIXTURE(request_format_fixture, "make_upstream_request_internal_and_connection_fields_are_dropped") {
