--- a/test/platform_node/standin.py
+++ b/test/platform_node/standin.py
@@ -166,12 +166,16 @@
         super().__init__()
         self.publish_entry("ready")
 
-    def publish_entry(self, state):
-        """Writes the engine's entry to the store."""
-        self.store.put("servers", self.name, {
+    def entry(self, state):
+        """Returns what the engine writes to the store."""
+        return {
             "service": "llm", "address": self.address, "zone": self.zone, "slots": 8, "state": state,
             "born": self.incarnation,
-            "seq": self.order_count, "models": [{"name": "m", "version": 1, "adapters": sorted(self.resident)}]})
+            "seq": self.order_count, "models": [{"name": "m", "version": 1, "adapters": sorted(self.resident)}]}
+
+    def publish_entry(self, state):
+        """Writes the engine's entry to the store."""
+        self.store.put("servers", self.name, self.entry(state))
 
     def finish_loads(self):
         """Moves the adapters whose load has finished to the resident ones."""
@@ -231,15 +235,27 @@
                                                    **self.stated_fields})
             self.resident[adapter] += 1
             self.executed.append((request_id, adapter))
+        return self.send_stream(handler, adapter)
+
+    def send_stream(self, handler, adapter):
+        """Sends the events of a stream after the one that the request names."""
+        self.send_stream_head(handler)
+        for number in range(int(handler.headers.get("Last-Event-Id", 0)) + 1, EVENTS_PER_STREAM + 1):
+            self.send_event(handler, number, adapter)
+        handler.wfile.write(b"0\r\n\r\n")
+
+    def send_stream_head(self, handler):
+        """Sends the head of a chunked stream."""
         handler.send_response(200)
-        for name, value in {"X-Attempt-Id": request_id, "X-Response-Stamp": "s", "Transfer-Encoding": "chunked",
-                            "Content-Type": "text/event-stream", **self.stated_fields}.items():
+        for name, value in {"X-Attempt-Id": handler.headers["X-Attempt-Id"], "X-Response-Stamp": "s",
+                            "Transfer-Encoding": "chunked", "Content-Type": "text/event-stream",
+                            **self.stated_fields}.items():
             handler.send_header(name, value)
         handler.end_headers()
-        for number in range(1, EVENTS_PER_STREAM + 1):
-            event = f"id: {number}\ndata: {adapter}\n\n".encode()
-            handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-            handler.wfile.flush()
-            time.sleep(self.event_interval_s)
-        handler.wfile.write(b"0\r\n\r\n")
-        return None
+
+    def send_event(self, handler, number, data):
+        """Sends one event of a stream, followed by the pause between events."""
+        event = f"id: {number}\ndata: {data}\n\n".encode()
+        handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+        handler.wfile.flush()
+        time.sleep(self.event_interval_s)
