wire: messages that a peer of an earlier release does not know are not sent to it

Change: the greeting states the newest type that a node knows; types beyond those of the last release are sent only after the greeting of the peer has shown that it knows them. Earlier releases skip the additional field.

--- a/src/lagoonsaddle/wire/frame.cpp
+++ b/src/lagoonsaddle/wire/frame.cpp
@@ -35,8 +35,7 @@
 }
 
 [[nodiscard]] bool known(unsigned value) noexcept {
-    return value >= static_cast<unsigned>(message_type::hello) &&
-           value <= static_cast<unsigned>(message_type::prompt_part_update);
+    return value >= static_cast<unsigned>(message_type::hello) && value <= static_cast<unsigned>(newest_message_type);
 }
 
 } // namespace
--- a/src/lagoonsaddle/wire/frame.hpp
+++ b/src/lagoonsaddle/wire/frame.hpp
@@ -37,9 +37,18 @@
     placement = 21,
     request_progress = 22,
     store_news = 23,
-    prompt_part_update = 24
+    prompt_part_update = 24,
+    stream_origin_update = 25,
+    stream_origin_get = 26,
+    stream_origin_reply = 27
 };
 
+/*! @brief Newest type of message that this node knows. */
+inline constexpr message_type newest_message_type{message_type::stream_origin_reply};
+
+/*! @brief Newest type of message that a node knows which does not state it. */
+inline constexpr message_type baseline_message_type{message_type::prompt_part_update};
+
 /*! @brief One message between nodes. */
 struct frame {
     message_type type{message_type::hello};
--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -11,6 +11,7 @@
 
 #include <lagoonsaddle/core/error.hpp>
 #include <lagoonsaddle/core/verdict.hpp>
+#include <lagoonsaddle/wire/frame.hpp>
 
 MSGPACK_ADD_ENUM(lagoonsaddle::core::verdict)
 MSGPACK_ADD_ENUM(lagoonsaddle::core::reason)
@@ -25,10 +26,20 @@
     std::string node{};
     std::string availability_zone{};
     unsigned protocol{protocol_version};
+    /*! @brief Newest type of message that the node knows; 0 when it does not state it. */
+    unsigned newest_message{};
 
-    MSGPACK_DEFINE_ARRAY(node, availability_zone, protocol)
+    MSGPACK_DEFINE_ARRAY(node, availability_zone, protocol, newest_message)
 };
 
+/*! @brief Returns a greeting that states which messages this node knows, unless it states so already. */
+[[nodiscard]] inline hello with_newest_message(hello greeting) {
+    if(greeting.newest_message == 0u) {
+        greeting.newest_message = static_cast<unsigned>(newest_message_type);
+    }
+    return greeting;
+}
+
 /*! @brief Kind of call that a request makes on its upstream. */
 enum class call_kind : unsigned char { completion = 0, chat_completion = 1, service = 2 };
 
--- a/src/lagoonsaddle/wire/peer_client.cpp
+++ b/src/lagoonsaddle/wire/peer_client.cpp
@@ -1,6 +1,9 @@
+#include <algorithm>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -83,6 +86,26 @@
         co_return outcome;
     }
 
+    /*! @brief Returns whether the peer knows a type of message; waits for its greeting where that decides. */
+    asio::awaitable<bool> is_known(message_type type) {
+        if(type <= baseline_message_type) {
+            co_return true;
+        }
+        const auto self = this->shared_from_this();
+        std::shared_ptr<async_queue<bool>> turn{};
+        {
+            const std::lock_guard lock{this->mutex};
+            if(this->newest_message) {
+                co_return type <= *this->newest_message;
+            }
+            turn = std::make_shared<async_queue<bool>>();
+            this->waiting_for_greeting.push_back(turn);
+        }
+        static_cast<void>(co_await turn->pop(this->options.connect_timeout));
+        const std::lock_guard lock{this->mutex};
+        co_return this->newest_message&& type <= *this->newest_message;
+    }
+
     [[nodiscard]] std::uint64_t add(const std::shared_ptr<answer_queue>& queue) {
         const std::lock_guard lock{this->mutex};
         const auto id = ++this->last_exchange;
@@ -140,7 +163,7 @@
                                                       ": " + (failure ? failure.message() : std::string{"timed out"}));
         }
         auto made = std::make_shared<internal::link>(std::move(*socket));
-        frame greeting{.type = message_type::hello, .body = pack(this->options.self)};
+        frame greeting{.type = message_type::hello, .body = pack(with_newest_message(this->options.self))};
         made->send(greeting);
         made->start([self = this->shared_from_this()](frame message) { return self->received(std::move(message)); },
             [self = this->shared_from_this()] { self->lost(); });
@@ -150,7 +173,11 @@
     bool received(frame message) {
         if(message.type == message_type::hello) {
             const auto greeting = unpack<hello>(message.body);
-            return greeting && greeting->protocol == protocol_version;
+            if(!greeting || greeting->protocol != protocol_version) {
+                return false;
+            }
+            this->greeted(*greeting);
+            return true;
         }
         const std::lock_guard lock{this->mutex};
         const auto found = this->answers.find(message.exchange_id);
@@ -178,12 +205,27 @@
         return true;
     }
 
+    void greeted(const hello& greeting) {
+        std::vector<std::shared_ptr<async_queue<bool>>> resumed{};
+        {
+            const std::lock_guard lock{this->mutex};
+            const auto stated = std::min(greeting.newest_message, static_cast<unsigned>(newest_message_type));
+            this->newest_message = std::max(static_cast<message_type>(stated), baseline_message_type);
+            resumed.swap(this->waiting_for_greeting);
+        }
+        for(const auto& other : resumed) {
+            other->push(true);
+        }
+    }
+
     // Exchange ids are never reused, so that a late frame of an old connection cannot reach a new exchange.
     void lost() {
         std::unordered_map<std::uint64_t, open_answer> interrupted{};
         {
             const std::lock_guard lock{this->mutex};
             interrupted.swap(this->answers);
+            // The peer may come back with another release.
+            this->newest_message.reset();
         }
         for(const auto& [id, answer] : interrupted) {
             answer.queue->push(lost_answer("the connection to the owner node was lost"));
@@ -195,6 +237,9 @@
     mutable std::mutex mutex{};
     std::shared_ptr<internal::link> current{};
     std::vector<std::shared_ptr<async_queue<bool>>> waiting{};
+    /*! @brief Newest type of message that the peer knows; nothing before its greeting. */
+    std::optional<message_type> newest_message{};
+    std::vector<std::shared_ptr<async_queue<bool>>> waiting_for_greeting{};
     std::unordered_map<std::uint64_t, open_answer> answers{};
     std::uint64_t last_exchange{};
     peer_counters counted{};
@@ -263,6 +308,9 @@
         if(!carrier) {
             co_return tl::make_unexpected(std::move(carrier.error()));
         }
+        if(!co_await origin->is_known(type)) {
+            co_return core::fail(core::reason::unavailable, "the peer does not know this type of message");
+        }
         auto queue = std::make_shared<answer_queue>();
         const auto id = origin->add(queue);
         const frame message{.type = type, .exchange_id = id, .body = body};
@@ -288,8 +336,9 @@
 }
 
 asio::awaitable<void> peer_client::notify(message_type type, std::string body) {
-    const auto carrier = co_await this->shared->connected();
-    if(carrier) {
+    const auto origin = this->shared;
+    const auto carrier = co_await origin->connected();
+    if(carrier && co_await origin->is_known(type)) {
         const frame message{.type = type, .body = std::move(body)};
         (*carrier)->send(message);
     }
--- a/src/lagoonsaddle/wire/peer_client.hpp
+++ b/src/lagoonsaddle/wire/peer_client.hpp
@@ -51,7 +51,12 @@
     std::uint64_t skipped_frames{};
 };
 
-/*! @brief Multiplexed connection to one peer node, made on demand and again after a loss. Thread-safe. */
+/**
+ * @brief Multiplexed connection to one peer node, made on demand and again after a loss. Thread-safe.
+ *
+ * A peer of an earlier release closes the connection at a message that it does not know. Messages beyond
+ * `baseline_message_type` are therefore sent only after the greeting of the peer has shown that it knows them.
+ */
 class peer_client {
 public:
     peer_client(boost::asio::io_context& context, peer_client_options options);
@@ -73,13 +78,14 @@
      * @param type Type of the message.
      * @param body Packed message.
      * @param timeout Time for the whole exchange.
-     * @return The answer, or an error with a verdict.
+     * @return The answer, or an error with a verdict; `unavailable` when the peer does not know the message.
      */
     [[nodiscard]] boost::asio::awaitable<core::result<frame>> call(
         message_type type, std::string body, std::chrono::milliseconds timeout);
 
     /**
-     * @brief Sends a message without an answer; it is lost when no connection can be made.
+     * @brief Sends a message without an answer; it is lost when no connection can be made, or the peer does not know
+     * it.
      * @param type Type of the message.
      * @param body Packed message.
      */
--- a/src/lagoonsaddle/wire/peer_server.cpp
+++ b/src/lagoonsaddle/wire/peer_server.cpp
@@ -97,7 +97,7 @@
                 return false;
             }
             this->peer = std::move(greeting->node);
-            const frame answer{.type = message_type::hello, .body = pack(this->owner->self)};
+            const frame answer{.type = message_type::hello, .body = pack(with_newest_message(this->owner->self))};
             return this->carrier->send(answer);
         }
         if(this->peer.empty()) {
--- a/test/wire/frame_test.cpp
+++ b/test/wire/frame_test.cpp
@@ -60,7 +60,7 @@
         const auto decoded = fresh.next();
         if(decoded && decoded->has_value()) {
             CHECK((*decoded)->type >= message_type::hello);
-            CHECK((*decoded)->type <= message_type::prompt_part_update);
+            CHECK((*decoded)->type <= newest_message_type);
         }
     }
 }
--- a/test/wire/peer_test.cpp
+++ b/test/wire/peer_test.cpp
@@ -1,5 +1,6 @@
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -90,6 +91,12 @@
         co_return "not opened";
     }
 
+    /*! @brief Sends a message of the newest type and returns the cause of its failure, or nothing. */
+    std::optional<core::reason> call_newest(peer_client& caller) {
+        const auto answer = this->start(caller.call(newest_message_type, "x", exchange_timeout)).get();
+        return answer ? std::nullopt : std::optional{answer.error().cause};
+    }
+
     asio::io_context context{};
     asio::executor_work_guard<asio::io_context::executor_type> work{this->context.get_executor()};
     counting_handler handler{};
@@ -139,6 +146,23 @@
     CHECK(outcome.error().verdict == core::verdict::may_have_run);
 }
 
+// Guards against a node that closes the connections of its peers of an earlier release by messages that they do not
+// know.
+TEST_CASE_FIXTURE(peer_fixture, "peer_client_peer_of_earlier_release_gets_no_message_that_it_does_not_know") {
+    const auto baseline = static_cast<unsigned>(baseline_message_type);
+    peer_server earlier{
+        this->context, this->handler, {.address = "127.0.0.1"}, hello{.node = "n3", .newest_message = baseline}};
+    REQUIRE(earlier.start().has_value());
+    peer_client other{this->context,
+        peer_client_options{.target = {.address = "127.0.0.1", .port = earlier.port()}, .self = hello{.node = "n1"}}};
+    CHECK(this->call_newest(other) == core::reason::unavailable);
+    CHECK(this->start(other.call(message_type::submit, "x", exchange_timeout)).get().has_value());
+    CHECK(other.counters().connects == 1u);
+    CHECK_FALSE(this->call_newest(*this->client).has_value());
+    other.close();
+    earlier.close();
+}
+
 // Guards against claiming that a request may have run when no connection was made.
 TEST_CASE_FIXTURE(peer_fixture, "peer_client_peer_not_listening_returns_not_run") {
     asio::ip::tcp::acceptor unused{this->context, {asio::ip::make_address("127.0.0.1"), 0u}};
