wire: close connections that are accepted while the server closes

Cause: accept_connections looked at `closed` before it added the new link to the list that close() goes through; a connection accepted between the two stayed open, and its exchanges had no end but their timeouts. Change: `closed` is checked again under the lock of the list.

--- a/src/lagoonsaddle/wire/peer_server.cpp
+++ b/src/lagoonsaddle/wire/peer_server.cpp
@@ -202,6 +202,11 @@
         auto accepted = std::make_shared<internal::link>(std::move(socket));
         {
             const std::lock_guard lock{this->mutex};
+            // `close` may have stopped the links that it found since the check above.
+            if(this->closed.load()) {
+                accepted->stop();
+                co_return;
+            }
             std::erase_if(this->links, [](const auto& known) { return known.expired(); });
             this->links.push_back(accepted);
         }
