test: wait for the message before the server closes, and keep the port of an absent server bound

Cause: exchange_connection_lost_returns_may_have_run closed the server once a connection was made, at times before the message was sent; not_run is right then. Change: the test waits until the message hangs in the handler; the ports stay bound without listening. What the tests require is unchanged.

--- a/test/http/loopback_test.cpp
+++ b/test/http/loopback_test.cpp
@@ -150,9 +150,11 @@
 
 // Guards against claiming that a request may have run when no connection was made.
 TEST_CASE_FIXTURE(loopback_fixture, "client_connection_refused_returns_not_run") {
-    asio::ip::tcp::acceptor unused{this->context, {asio::ip::make_address("127.0.0.1"), 0u}};
+    // Bound, so that no other process takes the port.
+    asio::ip::tcp::acceptor unused{this->context};
+    unused.open(asio::ip::tcp::v4());
+    unused.bind({asio::ip::make_address("127.0.0.1"), 0u});
     const auto port = unused.local_endpoint().port();
-    unused.close();
     const auto answer = this->await(
         this->requester.send({.address = "127.0.0.1", .port = port}, request{.method = "POST"}, exchange_timeout));
     REQUIRE_FALSE(answer.has_value());
--- a/test/wire/peer_test.cpp
+++ b/test/wire/peer_test.cpp
@@ -33,6 +33,7 @@
         if(message.body == "hang") {
             const auto ended = std::make_shared<async_queue<bool>>();
             answer->on_cancel([ended] { ended->push(true); });
+            this->received.set_value();
             static_cast<void>(co_await ended->pop(exchange_timeout));
             this->cancelled.set_value();
             co_return;
@@ -43,6 +44,8 @@
         answer->send(message_type::answer_end, peer);
     }
 
+    /*! @brief Set when a message that hangs has arrived, and when it was cancelled. */
+    std::promise<void> received{};
     std::promise<void> cancelled{};
 };
 
@@ -136,9 +139,7 @@
 // Guards against a caller that waits for ever after the owner node died, and against calling that not_run.
 TEST_CASE_FIXTURE(peer_fixture, "exchange_connection_lost_returns_may_have_run") {
     auto answer = this->start(this->client->call(message_type::submit, "hang", exchange_timeout));
-    while(this->client->counters().connects == 0u) {
-        std::this_thread::yield();
-    }
+    this->handler.received.get_future().get();
     this->server.close();
     const auto outcome = answer.get();
     REQUIRE_FALSE(outcome.has_value());
@@ -165,9 +166,11 @@
 
 // Guards against claiming that a request may have run when no connection was made.
 TEST_CASE_FIXTURE(peer_fixture, "peer_client_peer_not_listening_returns_not_run") {
-    asio::ip::tcp::acceptor unused{this->context, {asio::ip::make_address("127.0.0.1"), 0u}};
+    // Bound, so that no other process takes the port.
+    asio::ip::tcp::acceptor unused{this->context};
+    unused.open(asio::ip::tcp::v4());
+    unused.bind({asio::ip::make_address("127.0.0.1"), 0u});
     const auto port = unused.local_endpoint().port();
-    unused.close();
     peer_client other{this->context, peer_client_options{.target = {.address = "127.0.0.1", .port = port}}};
     const auto outcome = this->start(other.call(message_type::submit, "x", exchange_timeout)).get();
     REQUIRE_FALSE(outcome.has_value());
