edge, wire: a stream that breaks goes on within its answer at the software version that began it

What callers saw: answers with events of two software versions, which do not fit together (ORDER). Cause: neither the node nor the lease holder, which chooses among the upstreams of its zone again, compared the version of an upstream with that of the one that began the stream. Class: a continuation that is bound to less state than it needs. Change: the version of the first event's upstream is required of all further ones, by upstream_selector on both nodes; place_request carries it. A lease holder of an earlier release ignores the field: the node compares what was placed with its own entries, and excludes all other versions when it does not match. A stream that goes on waits for an adapter slot, as few upstreams can serve it.

--- a/src/lagoonsaddle/edge/dispatch_service.cpp
+++ b/src/lagoonsaddle/edge/dispatch_service.cpp
@@ -142,6 +142,7 @@
         .shared_prefix = request.shared_prefix,
         .shared_tokens = request.shared_tokens,
         .version_min = request.version_min,
+        .software_version = request.software_version,
         .zone = request.zone,
         .excluded = &excluded,
         .reservations = &this->reservations};
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -174,6 +174,7 @@
         .shared_prefix = state.metadata.shared_prefix,
         .shared_tokens = state.metadata.shared_tokens,
         .version_min = this->oldest_allowed_version(state),
+        .software_version = state.stream_version,
         .excluded = &excluded,
         .nodes = this->live_node_count()};
     criteria.zone_can_load = [this](std::string_view zone) {
@@ -224,7 +225,9 @@
         .excluded = {excluded.begin(), excluded.end()},
         .timeout_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(wait.count(), 1)),
         .lifetime_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(remaining.count(), 1)),
-        .may_wait = state.placements > placements_without_wait};
+        // Few upstreams can go on with a stream, so that it waits for a slot at the first one.
+        .may_wait = state.placements > placements_without_wait || state.stream_version.has_value(),
+        .software_version = state.stream_version};
     const auto begin = this->context.clock.now();
     auto placed = co_await this->context.dispatch.place(std::move(request), choice);
     const auto duration = this->context.clock.now() - begin;
@@ -251,6 +254,9 @@
     if(known == nullptr || known->entry.leaving || !this->context.limits.may_send(*known)) {
         co_return attempt_result::retry;
     }
+    if(!this->has_stream_version(state, known->entry)) {
+        co_return attempt_result::retry;
+    }
     // Nodes may have learned of more crashes while the request waited for its adapter or was sent before.
     if(auto failure = state.probes_prompt_part ? std::nullopt : this->review_content(state)) {
         state.last_failure = std::move(*failure);
@@ -260,6 +266,7 @@
     const auto now = this->context.clock.now();
     known->throttle.record_send(now);
     state.sent_at = now;
+    state.sent_version = known->entry.software_version;
     const auto remaining = to_ms(state.deadline - now);
     forwarding_metadata added{.deadline = remaining, .expected_upstream = upstream};
     added.urgency = std::min(urgency_base + state.matched_route->priority, urgency_max);
@@ -315,6 +322,21 @@
     co_return next;
 }
 
+bool forwarder::has_stream_version(exchange_state& state, const upstream_entry& placed) {
+    if(!state.stream_version || placed.software_version == *state.stream_version) {
+        return true;
+    }
+    // The lease holder is of an earlier release, which chooses among all versions, or knows another entry.
+    state.attempt_trace += ";version@" + placed.id;
+    state.excluded.insert(placed.id);
+    for(const auto* upstream : this->context.upstreams.accepting_requests(state.service)) {
+        if(upstream->entry.software_version != *state.stream_version) {
+            state.excluded.insert(upstream->entry.id);
+        }
+    }
+    return false;
+}
+
 forwarder::attempt_result forwarder::handle_failure(
     exchange_state& state, const std::string& upstream, const core::error& failure) {
     const auto now = this->context.clock.now();
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -103,6 +103,8 @@
         exchange_state& state, const selection& choice, const std::set<std::string>& excluded);
     [[nodiscard]] boost::asio::awaitable<attempt_result> send_request(
         exchange_state& state, const placed_request& placed);
+    /*! @brief Returns whether an upstream that was placed may go on with the stream; excludes all others otherwise. */
+    [[nodiscard]] bool has_stream_version(exchange_state& state, const upstream_entry& placed);
     [[nodiscard]] boost::asio::awaitable<attempt_result> receive_response(
         exchange_state& state, const std::string& upstream, http::response_stream& upstream_response);
     [[nodiscard]] boost::asio::awaitable<attempt_result> relay_stream(
--- a/src/lagoonsaddle/edge/internal_exchange.hpp
+++ b/src/lagoonsaddle/edge/internal_exchange.hpp
@@ -72,6 +72,11 @@
     core::verdict verdict{core::verdict::not_run};
     core::error last_failure{.cause = core::reason::unavailable, .message = "no upstream accepts the request"};
 
+    /*! @brief Software version of the upstream that the request was last sent to. */
+    std::string sent_version{};
+    /*! @brief Software version that began the stream, which alone may go on with it; nothing before its first event. */
+    std::optional<std::string> stream_version{};
+
     bool head_sent{false};
     event_splitter splitter{};
     /*! @brief Whether the last response of an upstream had neither a length nor chunks. */
--- a/src/lagoonsaddle/edge/upstream_selector.cpp
+++ b/src/lagoonsaddle/edge/upstream_selector.cpp
@@ -119,6 +119,20 @@
     return std::bit_ceil(upstreams_needed);
 }
 
+bool upstream_selector::is_candidate(const upstream_state& upstream, const selection_request& request) {
+    const auto& entry = upstream.entry;
+    if(request.excluded != nullptr && request.excluded->contains(entry.id)) {
+        return false;
+    }
+    if(!request.zone.empty() && entry.availability_zone != request.zone) {
+        return false;
+    }
+    if(request.software_version && entry.software_version != *request.software_version) {
+        return false;
+    }
+    return request.model.empty() || upstream.holds_model(request.model);
+}
+
 upstream_selector::ranked_upstreams upstream_selector::rank_upstreams(
     const upstream_table& table, const selection_request& request) const {
     // All nodes rank the upstreams alike, whatever their availability zone: one resident copy of an adapter serves all
@@ -126,9 +140,7 @@
     const std::string key = adapter_key(request.model, request.adapter);
     ranked_upstreams ranking{};
     for(const auto* upstream : table.accepting_requests(request.service)) {
-        const bool excluded = request.excluded != nullptr && request.excluded->contains(upstream->entry.id);
-        const bool in_other_zone = !request.zone.empty() && upstream->entry.availability_zone != request.zone;
-        if(!excluded && !in_other_zone && (request.model.empty() || upstream->holds_model(request.model))) {
+        if(is_candidate(*upstream, request)) {
             ranking.emplace_back(core::hash(key + upstream->entry.id), upstream);
         }
     }
--- a/src/lagoonsaddle/edge/upstream_selector.hpp
+++ b/src/lagoonsaddle/edge/upstream_selector.hpp
@@ -31,6 +31,8 @@
     std::uint64_t shared_tokens{};
     /*! @brief Oldest acceptable version of the adapter. */
     std::uint64_t version_min{};
+    /*! @brief Version that the software of the upstream must have; any when not set. */
+    std::optional<std::string_view> software_version{};
     /*! @brief Availability zone to choose in; any when empty. */
     std::string_view zone{};
     /*! @brief Upstreams that have failed this request; may be null. */
@@ -103,6 +105,8 @@
 
     using ranked_upstreams = std::vector<std::pair<std::uint64_t, const upstream_state*>>;
 
+    /*! @brief Returns whether an upstream of the service meets the requirements that do not depend on its load. */
+    [[nodiscard]] static bool is_candidate(const upstream_state& upstream, const selection_request& request);
     void update_rate(const std::string& key, core::time_point now);
     [[nodiscard]] std::size_t preferred_count(std::string_view key, std::size_t nodes, core::time_point now) const;
     [[nodiscard]] ranked_upstreams rank_upstreams(const upstream_table& table, const selection_request& request) const;
--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -264,9 +264,11 @@
     std::uint64_t lifetime_ms{};
     /*! @brief Wait for a place instead of answering `overloaded` when all are in use. */
     bool may_wait{};
+    /*! @brief Version that the software of the upstream must have; any when not set. Earlier releases ignore it. */
+    std::optional<std::string> software_version{};
 
     MSGPACK_DEFINE_ARRAY(ticket, zone, service, model, adapter, version_min, prompt_tokens, shared_prefix,
-        shared_tokens, excluded, timeout_ms, lifetime_ms, may_wait)
+        shared_tokens, excluded, timeout_ms, lifetime_ms, may_wait, software_version)
 };
 
 /*! @brief Answer to `place_request`. */
--- a/test/edge/dispatch_service_test.cpp
+++ b/test/edge/dispatch_service_test.cpp
@@ -60,6 +60,22 @@
     CHECK(this->run(this->dispatch->place_as_holder("n1", request)).failure.has_value());
 }
 
+// Guards against a lease holder that chooses among all software versions for a stream that only one may go on with.
+TEST_CASE_FIXTURE(dispatch_fixture, "place_as_holder_required_software_version_is_kept") {
+    REQUIRE(this->acquire_lease());
+    auto entry = this->upstreams.find("u2")->entry;
+    entry.software_version = "v2";
+    this->upstreams.update(entry, this->clock.now());
+    for(std::uint64_t ticket{1u}; ticket <= 6u; ++ticket) {
+        auto request = this->make_request(ticket, "");
+        request.software_version = "v2";
+        CHECK(this->run(this->dispatch->place_as_holder("n1", request)).upstream == "u2");
+    }
+    auto request = this->make_request(7u, "");
+    request.software_version = "v3";
+    CHECK(this->run(this->dispatch->place_as_holder("n1", request)).failure.has_value());
+}
+
 // Guards against a node that places requests without holding the lease.
 TEST_CASE_FIXTURE(dispatch_fixture, "place_as_holder_without_lease_fails_as_not_run") {
     const auto reply = this->run(this->dispatch->place_as_holder("n1", this->make_request(1u, "a")));
--- a/test/edge/upstream_selector_test.cpp
+++ b/test/edge/upstream_selector_test.cpp
@@ -60,6 +60,24 @@
     CHECK_FALSE(this->selector.choose(this->table, this->request, this->now)->resident);
 }
 
+// Guards against a stream that goes on at another software version, even where that is the cheapest choice.
+TEST_CASE_FIXTURE(upstream_selector_fixture, "choose_required_software_version_excludes_all_others") {
+    const auto preferred = this->choose(this->request);
+    for(const auto& [id, known] : std::map{this->table.all()}) {
+        auto entry = known.entry;
+        entry.software_version = id == preferred ? "v2" : "v1";
+        this->table.update(entry, this->now);
+    }
+    this->table.observe_adapter(preferred, "m", "a", true, 1u, this->now);
+    CHECK(this->choose(this->request) == preferred);
+    this->request.software_version = "v1";
+    CHECK(this->choose(this->request) != preferred);
+    this->request.software_version = "v2";
+    CHECK(this->choose(this->request) == preferred);
+    this->request.software_version = "";
+    CHECK(this->choose(this->request).empty());
+}
+
 // Guards against prefilling a shared prefix on every upstream, and against one upstream that prefills all prefixes.
 TEST_CASE_FIXTURE(upstream_selector_fixture, "choose_shared_prefix_is_sent_to_one_preferred_upstream") {
     for(const auto& [id, known] : this->table.all()) {
