edge, wire: a caller resumes a stream at the service and software version that began it, on any node

Cause: no node knew which version had begun a stream that its caller resumed; the choice was made as for a new request. Class: state that a retry needs is kept only where the first attempt was served. Change: before the first event is passed on, the node records service and version of its upstream under the id of the request, and sends them to three nodes that follow from the id by rendezvous hashing, in different availability zones. A node at which a stream is resumed looks there, by the id in the caller's request. When nobody knows it, it goes on only if the service has had one version for as long as a stream can last and a node has seen that long; else it is refused at once as not run. It is also refused when the route leads to another service now, or no upstream of the version is there.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -72,6 +72,14 @@
           prompt_part_guard_context{
               .log = this->log, .upstreams = this->upstreams, .membership = *this->membership, .peers = this->peers},
           this->settings.name},
+      origins{stream_origin_context{.io = this->context.io,
+                  .clock = this->context.clock,
+                  .log = this->log,
+                  .routes = this->routes,
+                  .upstreams = this->upstreams,
+                  .membership = *this->membership,
+                  .peers = this->peers},
+          this->settings.name},
       placement{std::make_shared<placement_service>(placement_context{.io = this->context.io,
                                                         .clock = this->context.clock,
                                                         .log = this->log,
@@ -117,6 +125,7 @@
           .quarantine = this->quarantine,
           .verifier = this->verifier,
           .prompt_parts = this->prompt_parts,
+          .origins = this->origins,
           .membership = *this->membership,
           .metrics = this->metrics}},
       readiness{*this},
@@ -227,9 +236,10 @@
         for(const auto& id : this->upstreams.remove_expired(this->context.clock.now())) {
             this->log.write(log_line{"upstream_gone"}.add("upstream", id).add("reason", "missing_after_outage"));
         }
-        this->upstreams.set_current(this->entries_expire());
+        this->upstreams.set_current(this->entries_expire(), this->context.clock.now());
         this->limits.update_nodes();
         this->prompt_parts.expire();
+        this->origins.expire();
         this->context.log.flush();
     }
 }
@@ -246,6 +256,12 @@
         }
     } else if(message.type == wire::message_type::prompt_part_update) {
         this->prompt_parts.merge(message.body);
+    } else if(message.type == wire::message_type::stream_origin_update) {
+        this->origins.merge(message.body);
+    } else if(message.type == wire::message_type::stream_origin_get) {
+        if(const auto question = wire::unpack<wire::stream_origin_get>(message.body)) {
+            responder->send(wire::message_type::stream_origin_reply, wire::pack(this->origins.make_reply(*question)));
+        }
     } else if(message.type == wire::message_type::store_news) {
         if(const auto updates = wire::unpack<wire::store_news>(message.body)) {
             this->apply_updates(*updates);
@@ -311,6 +327,8 @@
     gauge("lagoonsaddle_edge_prompt_parts_recorded",
         "Prompt parts that were in flight in a crash of an upstream, including cleared ones.",
         static_cast<double>(this->prompt_parts.record_count()));
+    gauge("lagoonsaddle_edge_stream_origins", "Streams that may be resumed and whose origin this node knows.",
+        static_cast<double>(this->origins.record_count()));
     gauge("lagoonsaddle_edge_reservations", "Requests that this node has placed for all nodes.",
         static_cast<double>(this->dispatch->reservation_count()));
     gauge("lagoonsaddle_edge_leases_held", "Availability zones whose loads this node orders.",
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -129,7 +129,9 @@
         co_await this->refuse(state, 503u, std::move(failure));
         co_return;
     }
-    state.service = route_table::pick_service(*state.matched_route, state.metadata.id);
+    const auto& first_request =
+        state.metadata.resumed_request.empty() ? state.metadata.id : state.metadata.resumed_request;
+    state.service = route_table::pick_service(*state.matched_route, first_request);
     state.digest = core::digest(
         state.request.method + '|' + std::string{state.request.headers.find("host").value_or("")} + '|' +
         state.request.target + '|' + state.metadata.model + '/' + state.metadata.adapter + '|' + state.request.body);
@@ -137,6 +139,12 @@
         co_await this->refuse(state, 503u, std::move(*failure));
         co_return;
     }
+    if(is_resumed(state)) {
+        if(auto failure = co_await this->bind_to_origin(state)) {
+            co_await this->refuse(state, 503u, std::move(*failure));
+            co_return;
+        }
+    }
     this->context.budget.record_request(state.service, state.received_at);
     if(!state.metadata.model.empty()) {
         this->context.selector.record_request(
@@ -322,21 +330,6 @@
     co_return next;
 }
 
-bool forwarder::has_stream_version(exchange_state& state, const upstream_entry& placed) {
-    if(!state.stream_version || placed.software_version == *state.stream_version) {
-        return true;
-    }
-    // The lease holder is of an earlier release, which chooses among all versions, or knows another entry.
-    state.attempt_trace += ";version@" + placed.id;
-    state.excluded.insert(placed.id);
-    for(const auto* upstream : this->context.upstreams.accepting_requests(state.service)) {
-        if(upstream->entry.software_version != *state.stream_version) {
-            state.excluded.insert(upstream->entry.id);
-        }
-    }
-    return false;
-}
-
 forwarder::attempt_result forwarder::handle_failure(
     exchange_state& state, const std::string& upstream, const core::error& failure) {
     const auto now = this->context.clock.now();
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -23,6 +23,7 @@
 #include <lagoonsaddle/edge/protocol.hpp>
 #include <lagoonsaddle/edge/retry_budget.hpp>
 #include <lagoonsaddle/edge/route_table.hpp>
+#include <lagoonsaddle/edge/stream_origin_service.hpp>
 #include <lagoonsaddle/edge/upstream_limits.hpp>
 #include <lagoonsaddle/edge/upstream_selector.hpp>
 #include <lagoonsaddle/edge/upstream_table.hpp>
@@ -62,6 +63,7 @@
     cluster::quarantine_service& quarantine;
     const crash_verifier& verifier;
     prompt_part_guard& prompt_parts;
+    stream_origin_service& origins;
     cluster::membership_service& membership;
     operate::metrics_registry& metrics;
 };
@@ -103,6 +105,12 @@
         exchange_state& state, const selection& choice, const std::set<std::string>& excluded);
     [[nodiscard]] boost::asio::awaitable<attempt_result> send_request(
         exchange_state& state, const placed_request& placed);
+    /*! @brief Returns whether a request goes on with a stream of which its caller has events. */
+    [[nodiscard]] static bool is_resumed(const exchange_state& state);
+    /*! @brief Binds a request that goes on with a stream to where it began; returns why it is refused otherwise. */
+    [[nodiscard]] boost::asio::awaitable<std::optional<core::error>> bind_to_origin(exchange_state& state);
+    /*! @brief Records where a stream begins, before its first event is passed on. */
+    void record_origin(exchange_state& state);
     /*! @brief Returns whether an upstream that was placed may go on with the stream; excludes all others otherwise. */
     [[nodiscard]] bool has_stream_version(exchange_state& state, const upstream_entry& placed);
     [[nodiscard]] boost::asio::awaitable<attempt_result> receive_response(
--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -211,7 +211,7 @@
         state.head_sent = true;
         state.status = upstream_response.status();
         state.first_event_at = arrived;
-        state.stream_version = state.sent_version;
+        this->record_origin(state);
         this->context.prompt_parts.record_answer(state.metadata.shared_parts);
         auto headers = this->context.format.caller_headers(upstream_response.headers());
         if(const auto sent = co_await state.writer.begin(state.status, std::move(headers)); !sent) {
--- a/src/lagoonsaddle/edge/internal_entry_node.hpp
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -17,6 +17,7 @@
 #include <lagoonsaddle/edge/prompt_part_guard.hpp>
 #include <lagoonsaddle/edge/record_watcher.hpp>
 #include <lagoonsaddle/edge/status_handlers.hpp>
+#include <lagoonsaddle/edge/stream_origin_service.hpp>
 #include <lagoonsaddle/http/server.hpp>
 #include <lagoonsaddle/wire/peer_server.hpp>
 
@@ -95,6 +96,7 @@
     crash_verifier verifier{crash_verifier_options{.crashes_until_quarantine = internal::crashes_until_quarantine,
         .suspect_duration = internal::suspect_duration}};
     prompt_part_guard prompt_parts;
+    stream_origin_service origins;
     std::shared_ptr<placement_service> placement;
     std::shared_ptr<dispatch_service> dispatch;
     std::shared_ptr<configuration_sync> configuration_updates;
--- a/src/lagoonsaddle/edge/route_table.cpp
+++ b/src/lagoonsaddle/edge/route_table.cpp
@@ -45,6 +45,19 @@
     return best;
 }
 
+std::chrono::milliseconds route_table::longest_resumable_timeout() const {
+    std::chrono::milliseconds longest{0};
+    if(!this->config) {
+        return longest;
+    }
+    for(const auto& entry : this->config->routes) {
+        if(entry.retry == retry_mode::resumable) {
+            longest = std::max(longest, entry.timeout);
+        }
+    }
+    return longest;
+}
+
 const service* route_table::find_service(std::string_view name) const {
     if(!this->config) {
         return nullptr;
--- a/src/lagoonsaddle/edge/route_table.hpp
+++ b/src/lagoonsaddle/edge/route_table.hpp
@@ -1,6 +1,7 @@
 #ifndef LAGOONSADDLE_EDGE_ROUTE_TABLE_HPP
 #define LAGOONSADDLE_EDGE_ROUTE_TABLE_HPP
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string_view>
@@ -39,6 +40,9 @@
      */
     [[nodiscard]] const route* find(std::string_view host, std::string_view target) const;
 
+    /*! @brief Returns the longest timeout of the routes whose streams may be resumed; 0 when there is none. */
+    [[nodiscard]] std::chrono::milliseconds longest_resumable_timeout() const;
+
     /*! @brief Returns the service with the given name, or null. */
     [[nodiscard]] const service* find_service(std::string_view name) const;
 
--- /dev/null
+++ b/src/lagoonsaddle/edge/stream_origin_service.cpp
@@ -0,0 +1,183 @@
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <lagoonsaddle/edge/replica_selection.hpp>
+#include <lagoonsaddle/edge/stream_origin_service.hpp>
+#include <lagoonsaddle/wire/async_queue.hpp>
+#include <lagoonsaddle/wire/codec.hpp>
+
+namespace lagoonsaddle::edge {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/*! @brief Number of nodes that keep the origin of a stream, beside the one that began it. */
+constexpr std::size_t replica_count{3u};
+/*! @brief Maximum wait for the answers of the replicas. */
+constexpr milliseconds lookup_timeout{200};
+/*! @brief Longest time for which an origin is kept, whatever the deadline of its request is. */
+constexpr milliseconds lifetime_max{120'000};
+/*! @brief Time for which a stream may last when no route that can be resumed has a timeout. */
+constexpr milliseconds default_stream_time{30'000};
+/*! @brief Software versions that an answer names; more of them tell no more. */
+constexpr std::size_t reply_versions_max{2u};
+
+using reply_queue = wire::async_queue<core::result<wire::stream_origin_reply>>;
+
+asio::awaitable<void> ask(
+    std::shared_ptr<wire::peer_client> peer, std::string question, std::shared_ptr<reply_queue> replies) {
+    const auto reply = co_await peer->call(wire::message_type::stream_origin_get, std::move(question), lookup_timeout);
+    if(reply) {
+        replies->push(wire::unpack<wire::stream_origin_reply>(reply->body));
+    } else {
+        replies->push(tl::make_unexpected(reply.error()));
+    }
+}
+
+} // namespace
+
+stream_origin_service::stream_origin_service(stream_origin_context uses, std::string name)
+    : context{uses}, node_name{std::move(name)} {}
+
+std::vector<std::string> stream_origin_service::replicas_of(std::string_view request) const {
+    auto names = select_replicas(request, *this->context.membership.members(), replica_count);
+    std::erase(names, this->node_name);
+    return names;
+}
+
+void stream_origin_service::record(const std::string& request, const stream_origin& origin, milliseconds lifetime) {
+    const auto kept = std::min(lifetime, lifetime_max);
+    this->origins.record(request, origin, this->context.clock.now() + kept);
+    const wire::stream_origin_update update{.request = request,
+        .service = origin.service,
+        .software_version = origin.software_version,
+        .lifetime_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(kept.count(), 0))};
+    const auto body = wire::pack(update);
+    for(const auto& name : this->replicas_of(request)) {
+        if(const auto peer = this->context.peers.find(name)) {
+            asio::co_spawn(
+                this->context.io,
+                [peer, body]() -> asio::awaitable<void> {
+                    co_await peer->notify(wire::message_type::stream_origin_update, body);
+                },
+                asio::detached);
+        }
+    }
+}
+
+void stream_origin_service::merge(std::string_view packed) {
+    auto update = wire::unpack<wire::stream_origin_update>(packed);
+    if(!update) {
+        this->context.log.write(log_line{"stream_origin"}.add("outcome", "malformed"));
+        return;
+    }
+    const auto lifetime =
+        std::min<std::uint64_t>(update->lifetime_ms, static_cast<std::uint64_t>(lifetime_max.count()));
+    stream_origin origin{
+        .service = std::move(update->service), .software_version = std::move(update->software_version)};
+    this->origins.record(update->request, std::move(origin),
+        this->context.clock.now() + milliseconds{static_cast<std::int64_t>(lifetime)});
+}
+
+stream_origin_service::findings stream_origin_service::look_up(
+    std::string_view request, std::string_view service) const {
+    const auto longest = this->context.routes.longest_resumable_timeout();
+    const auto since = this->context.clock.now() - (longest.count() > 0 ? longest : default_stream_time);
+    findings found{.versions = this->context.upstreams.software_versions(service, since),
+        .versions_complete = this->context.upstreams.complete_since(since)};
+    if(const auto* origin = this->origins.find(request)) {
+        found.origin = *origin;
+    }
+    return found;
+}
+
+wire::stream_origin_reply stream_origin_service::make_reply(const wire::stream_origin_get& question) const {
+    const auto found = this->look_up(question.request, question.service);
+    wire::stream_origin_reply reply{.versions_complete = found.versions_complete};
+    if(found.origin) {
+        reply.origin = wire::stream_origin_update{.request = question.request,
+            .service = found.origin->service,
+            .software_version = found.origin->software_version};
+    }
+    for(const auto& version : found.versions) {
+        if(reply.versions.size() < reply_versions_max) {
+            reply.versions.push_back(version);
+        }
+    }
+    return reply;
+}
+
+asio::awaitable<void> stream_origin_service::ask_replicas(wire::stream_origin_get question, findings& found) {
+    const auto replies = std::make_shared<reply_queue>();
+    const auto body = wire::pack(question);
+    std::size_t asked{};
+    for(const auto& name : this->replicas_of(question.request)) {
+        if(auto peer = this->context.peers.find(name)) {
+            asio::co_spawn(this->context.io, ask(std::move(peer), body, replies), asio::detached);
+            ++asked;
+        }
+    }
+    const auto end = this->context.clock.now() + lookup_timeout;
+    for(std::size_t answered{}; answered < asked && !found.origin; ++answered) {
+        const auto left = std::chrono::duration_cast<milliseconds>(end - this->context.clock.now());
+        const auto reply = co_await replies->pop(std::max(left, milliseconds{1}));
+        if(!reply) {
+            co_return;
+        }
+        if(!*reply) {
+            continue;
+        }
+        const auto& answer = **reply;
+        found.versions.insert(answer.versions.begin(), answer.versions.end());
+        found.versions_complete = found.versions_complete || answer.versions_complete;
+        if(answer.origin) {
+            found.origin =
+                stream_origin{.service = answer.origin->service, .software_version = answer.origin->software_version};
+        }
+    }
+}
+
+asio::awaitable<std::optional<stream_origin>> stream_origin_service::resolve(std::string request, std::string service) {
+    auto found = this->look_up(request, service);
+    const std::string_view source = found.origin ? "local" : "peer";
+    if(!found.origin && !request.empty()) {
+        wire::stream_origin_get question{.request = request, .service = service};
+        co_await this->ask_replicas(std::move(question), found);
+    }
+    if(found.origin) {
+        const bool known = found.origin->software_version.has_value();
+        this->log_result(request, &*found.origin, source);
+        co_return known ? found.origin : std::nullopt;
+    }
+    if(found.versions_complete && found.versions.size() == 1u) {
+        stream_origin only{.service = std::move(service), .software_version = *found.versions.begin()};
+        this->log_result(request, &only, "only_version");
+        co_return only;
+    }
+    this->log_result(request, nullptr, "none");
+    co_return std::nullopt;
+}
+
+void stream_origin_service::log_result(std::string_view request, const stream_origin* origin, std::string_view source) {
+    const bool known = origin != nullptr && origin->software_version;
+    log_line line{"stream_origin"};
+    line.add("id", request).add("outcome", known ? "known" : "unknown").add("source", source);
+    if(known) {
+        line.add("service", origin->service).add("software_version", *origin->software_version);
+    }
+    this->context.log.write(line);
+}
+
+void stream_origin_service::expire() {
+    this->origins.remove_expired(this->context.clock.now());
+}
+
+} // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/upstream_table.cpp
+++ b/src/lagoonsaddle/edge/upstream_table.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include <lagoonsaddle/edge/upstream_table.hpp>
@@ -73,9 +74,15 @@
 }
 
 bool upstream_table::update(const upstream_entry& entry, core::time_point now) {
-    const auto* removed = this->upstreams.contains(entry.id) ? nullptr : this->find_removed(entry);
+    const bool is_new = !this->upstreams.contains(entry.id);
+    const auto* removed = is_new ? this->find_removed(entry) : nullptr;
     auto& known = this->upstreams[entry.id];
-    const bool restarted = known.entry.started_ms != entry.started_ms || known.entry.address != entry.address;
+    const bool other_version = !is_new && known.entry.software_version != entry.software_version;
+    if(other_version) {
+        this->record_former_version(known.entry, now);
+    }
+    const bool restarted =
+        other_version || known.entry.started_ms != entry.started_ms || known.entry.address != entry.address;
     const bool was_leaving = !restarted && known.entry.leaving;
     if(restarted) {
         known.observations.clear();
@@ -106,11 +113,49 @@
 
 upstream_table::upstream_map::iterator upstream_table::erase(upstream_map::iterator position, core::time_point now) {
     const auto& entry = position->second.entry;
+    this->record_former_version(entry, now);
     this->removed_upstreams[position->first] =
         removed_upstream{.started_ms = entry.started_ms, .leaving = entry.leaving, .removed_at = now};
     return this->upstreams.erase(position);
 }
 
+void upstream_table::record_former_version(const upstream_entry& entry, core::time_point now) {
+    const auto found = std::ranges::find_if(this->former_versions, [&entry](const former_version& known) {
+        return known.service == entry.service && known.software_version == entry.software_version;
+    });
+    if(found != this->former_versions.end()) {
+        found->until = now;
+        return;
+    }
+    this->former_versions.push_back(
+        {.service = entry.service, .software_version = entry.software_version, .until = now});
+}
+
+void upstream_table::set_current(bool value, core::time_point now) noexcept {
+    this->current = value;
+    if(!value) {
+        this->current_since.reset();
+    } else if(!this->current_since) {
+        this->current_since = now;
+    }
+}
+
+std::set<std::string, std::less<>> upstream_table::software_versions(
+    std::string_view service, core::time_point since) const {
+    std::set<std::string, std::less<>> versions{};
+    for(const auto& [id, known] : this->upstreams) {
+        if(known.entry.service == service) {
+            versions.insert(known.entry.software_version);
+        }
+    }
+    for(const auto& former : this->former_versions) {
+        if(former.service == service && former.until >= since) {
+            versions.insert(former.software_version);
+        }
+    }
+    return versions;
+}
+
 const upstream_table::removed_upstream* upstream_table::find_removed(const upstream_entry& entry) const {
     const auto found = this->removed_upstreams.find(entry.id);
     const bool same = found != this->removed_upstreams.end() && found->second.started_ms == entry.started_ms;
@@ -145,6 +190,8 @@
     }
     std::erase_if(this->removed_upstreams,
         [now](const auto& entry) { return now - entry.second.removed_at >= removed_retention; });
+    std::erase_if(
+        this->former_versions, [now](const former_version& entry) { return now - entry.until >= removed_retention; });
     return removed;
 }
 
--- a/src/lagoonsaddle/edge/upstream_table.hpp
+++ b/src/lagoonsaddle/edge/upstream_table.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -97,10 +98,9 @@
     /**
      * @brief Sets whether entries of upstreams that have ended are removed at present.
      * @param value False while the store is away, and until entries could have expired since.
+     * @param now Current time.
      */
-    void set_current(bool value) noexcept {
-        this->current = value;
-    }
+    void set_current(bool value, core::time_point now) noexcept;
 
     /*! @brief Returns whether an entry shows that its upstream lives. */
     [[nodiscard]] bool is_current() const noexcept {
@@ -124,6 +124,16 @@
     /*! @brief Returns the upstreams of a service that are neither leaving nor unconfirmed. */
     [[nodiscard]] std::vector<const upstream_state*> accepting_requests(std::string_view service) const;
 
+    /*! @brief Returns the software versions that upstreams of a service have had since a time, leaving ones included.
+     */
+    [[nodiscard]] std::set<std::string, std::less<>> software_versions(
+        std::string_view service, core::time_point since) const;
+
+    /*! @brief Returns whether the entries have shown all upstreams without a break since a time. */
+    [[nodiscard]] bool complete_since(core::time_point since) const noexcept {
+        return this->current_since && *this->current_since <= since;
+    }
+
     /*! @brief Records that an adapter was found resident or not resident by a request or an order. */
     void observe_adapter(std::string_view id, std::string_view model, std::string_view adapter, bool resident,
         std::uint64_t version, core::time_point now);
@@ -138,13 +148,23 @@
         core::time_point removed_at{};
     };
 
+    /*! @brief Software version of an upstream that was removed or has started again at another one. */
+    struct former_version {
+        std::string service{};
+        std::string software_version{};
+        core::time_point until{};
+    };
+
     using upstream_map = std::map<std::string, upstream_state, std::less<>>;
 
+    void record_former_version(const upstream_entry& entry, core::time_point now);
     upstream_map::iterator erase(upstream_map::iterator position, core::time_point now);
     /*! @brief Returns the removed incarnation that an entry belongs to, or null. */
     [[nodiscard]] const removed_upstream* find_removed(const upstream_entry& entry) const;
 
     bool current{true};
+    std::optional<core::time_point> current_since{};
+    std::vector<former_version> former_versions{};
     upstream_map upstreams{};
     std::map<std::string, removed_upstream, std::less<>> removed_upstreams{};
     core::time_point grace_until{core::time_point::min()};
--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -320,6 +320,40 @@
     MSGPACK_DEFINE_ARRAY(configuration_version, leaving, versions)
 };
 
+/*! @brief Service and software version that began a stream, so that it can be resumed on any node. Has no answer. */
+struct stream_origin_update {
+    /*! @brief Id of the request that brought the first event. */
+    std::string request{};
+    std::string service{};
+    /*! @brief Nothing when it could not be told. */
+    std::optional<std::string> software_version{};
+    /*! @brief Time for which the stream may still be resumed. */
+    std::uint64_t lifetime_ms{};
+
+    MSGPACK_DEFINE_ARRAY(request, service, software_version, lifetime_ms)
+};
+
+/*! @brief Asks a node where a stream began. */
+struct stream_origin_get {
+    std::string request{};
+    /*! @brief Service to tell the software versions of. */
+    std::string service{};
+
+    MSGPACK_DEFINE_ARRAY(request, service)
+};
+
+/*! @brief Answer to `stream_origin_get`. */
+struct stream_origin_reply {
+    /*! @brief Nothing when the node does not know the stream. */
+    std::optional<stream_origin_update> origin{};
+    /*! @brief Software versions that the service has had for as long as a stream can last; two at most. */
+    std::vector<std::string> versions{};
+    /*! @brief Whether the node has seen all upstreams for that long. */
+    bool versions_complete{};
+
+    MSGPACK_DEFINE_ARRAY(origin, versions, versions_complete)
+};
+
 /*! @brief Asks a node for the explain record of a request. */
 struct explain_get {
     std::string request_id{};
--- a/test/edge/crash_verifier_test.cpp
+++ b/test/edge/crash_verifier_test.cpp
@@ -81,9 +81,9 @@
 TEST_CASE_FIXTURE(crash_verifier_fixture, "confirms_quarantine_table_not_current_returns_true") {
     this->break_connections();
     this->unix_now += 7s;
-    this->upstreams.set_current(false);
+    this->upstreams.set_current(false, this->now);
     CHECK(this->confirms_quarantine());
-    this->upstreams.set_current(true);
+    this->upstreams.set_current(true, this->now);
     CHECK_FALSE(this->confirms_quarantine());
 }
 
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -43,6 +43,10 @@
         }
         metadata.deadline =
             std::chrono::milliseconds{std::stoi(std::string{message.headers.find("deadline").value_or("5000")})};
+        metadata.resumed_request = message.headers.find("resumes").value_or("");
+        if(const auto last = message.headers.find("last")) {
+            metadata.last_event_id = std::stoul(std::string{*last});
+        }
         if(const auto part = message.headers.find("part")) {
             metadata.shared_parts.emplace_back(*part);
         }
@@ -277,6 +281,23 @@
         return message;
     }
 
+    /*! @brief Returns a request that goes on after the first event of a stream. */
+    [[nodiscard]] http::request make_resumed_request(const std::string& first_request = "r0") const {
+        auto message = this->make_request("resumable");
+        message.headers.set("resumes", first_request);
+        message.headers.set("last", "1");
+        return message;
+    }
+
+    /*! @brief Sets the software version that the entry of an upstream states. */
+    void set_version(const std::string& id, const std::string& version) {
+        this->run_on_node([this, &id, &version] {
+            auto entry = this->upstreams.find(id)->entry;
+            entry.software_version = version;
+            this->upstreams.update(entry, this->clock.now());
+        });
+    }
+
     [[nodiscard]] core::result<http::response> send_to_route(const std::string& route) {
         return this->send(this->make_request(route));
     }
@@ -338,6 +359,14 @@
     crash_verifier verifier{{}};
     prompt_part_guard prompt_parts{
         {.log = log, .upstreams = upstreams, .membership = *membership, .peers = peers}, "n"};
+    stream_origin_service origins{stream_origin_context{.io = node_context,
+                                      .clock = clock,
+                                      .log = log,
+                                      .routes = routes,
+                                      .upstreams = upstreams,
+                                      .membership = *membership,
+                                      .peers = peers},
+        "n"};
     std::shared_ptr<placement_service> placement{
         std::make_shared<placement_service>(placement_context{.io = node_context,
                                                 .clock = clock,
@@ -378,6 +407,7 @@
         .quarantine = quarantine,
         .verifier = verifier,
         .prompt_parts = prompt_parts,
+        .origins = origins,
         .membership = *membership,
         .metrics = metrics}};
     http::server caller_server{node_context, request_forwarder, http::server_options{}};
@@ -483,6 +513,57 @@
     CHECK(this->send_to_route("resumable")->status == 200u);
 }
 
+// Guards against a stream that its caller resumes at another software version, or at another service.
+TEST_CASE_FIXTURE(forwarder_fixture, "handle_resumed_stream_goes_on_only_at_version_and_service_that_began_it") {
+    this->set_version("u1", "v1");
+    this->set_version("u2", "v2");
+    this->run_on_node([this] {
+        this->origins.record("u1", {.service = "s", .software_version = "v1"}, 10s);
+        this->origins.record("u2", {.service = "s", .software_version = "v2"}, 10s);
+        this->origins.record("moved", {.service = "t", .software_version = "v1"}, 10s);
+    });
+    for(int index{}; index < 8; ++index) {
+        const std::string id{index % 2 == 0 ? "u1" : "u2"};
+        this->upstream.script = {"stream"};
+        CHECK(this->send(this->make_resumed_request(id))->status == 200u);
+        CHECK(this->upstream.received.back().headers.find("upstream") == id);
+    }
+    this->run_on_node([this] { this->upstreams.remove("u2", this->clock.now()); });
+    CHECK(this->send(this->make_resumed_request("u2"))->status == 503u);
+    CHECK(this->send(this->make_resumed_request("moved"))->status == 503u);
+    CHECK(this->upstream.received.size() == 8u);
+}
+
+// Guards against a stream that goes on at any version when nobody knows which one began it, and against refusing it
+// where there was only one.
+TEST_CASE_FIXTURE(forwarder_fixture, "handle_resumed_stream_of_unknown_origin_goes_on_only_after_single_version") {
+    CHECK(this->send(this->make_resumed_request())->status == 503u);
+    this->run_on_node([this] { this->upstreams.set_current(true, this->clock.now() - 60s); });
+    this->upstream.script = {"stream"};
+    CHECK(this->send(this->make_resumed_request())->status == 200u);
+    this->set_version("u2", "v2");
+    CHECK(this->send(this->make_resumed_request("r9"))->status == 503u);
+    CHECK(this->upstream.received.size() == 1u);
+}
+
+// Guards against a first event that reaches the caller before the origin of its stream is recorded, under the request
+// that brought the first event.
+TEST_CASE_FIXTURE(forwarder_fixture, "handle_first_event_records_origin_of_stream") {
+    this->set_version("u1", "v1");
+    this->set_version("u2", "v1");
+    this->upstream.script = {"stream"};
+    CHECK(this->send_to_route("stream")->status == 200u);
+    this->run_on_node([this] { CHECK(this->origins.record_count() == 0u); });
+    this->upstream.script = {"broken_stream", "stream"};
+    CHECK(this->send_to_route("resumable")->status == 200u);
+    this->run_on_node([this] {
+        const auto known = this->origins.make_reply({.request = "r1", .service = "s"});
+        REQUIRE(known.origin.has_value());
+        CHECK(known.origin->service == "s");
+        CHECK(known.origin->software_version == "v1");
+    });
+}
+
 // Guards against an incomplete stream that the caller takes for a complete one.
 TEST_CASE_FIXTURE(forwarder_fixture, "handle_broken_stream_that_may_run_once_closes_connection") {
     this->upstream.script = {"broken_stream"};
--- a/test/edge/upstream_table_test.cpp
+++ b/test/edge/upstream_table_test.cpp
@@ -1,4 +1,7 @@
 #include <array>
+#include <functional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -102,4 +105,39 @@
     }
 }
 
+// Guards against taking a service for one of a single software version while streams of another one may go on.
+TEST_CASE_FIXTURE(upstream_table_fixture, "software_versions_include_those_of_removed_and_restarted_upstreams") {
+    using versions = std::set<std::string, std::less<>>;
+    this->entry.software_version = "v1";
+    this->entry.started_ms = 6u;
+    this->table.update(this->entry, this->now + 1s);
+    CHECK(this->table.software_versions("s", this->now) == versions{"", "v1"});
+    CHECK(this->table.software_versions("s", this->now + 2s) == versions{"v1"});
+    CHECK(this->table.software_versions("t", this->now).empty());
+    this->table.remove("u", this->now + 3s);
+    CHECK(this->table.software_versions("s", this->now + 3s) == versions{"v1"});
+    CHECK(this->table.software_versions("s", this->now + 4s).empty());
+}
+
+// Guards against conclusions from entries that the node has not seen for long enough, or not without a break.
+TEST_CASE_FIXTURE(upstream_table_fixture, "complete_since_begins_again_after_an_outage_of_the_store") {
+    CHECK_FALSE(this->table.complete_since(this->now));
+    this->table.set_current(true, this->now);
+    this->table.set_current(true, this->now + 1s);
+    CHECK(this->table.complete_since(this->now));
+    CHECK_FALSE(this->table.complete_since(this->now - 1s));
+    this->table.set_current(false, this->now + 2s);
+    CHECK_FALSE(this->table.complete_since(this->now + 2s));
+    this->table.set_current(true, this->now + 3s);
+    CHECK_FALSE(this->table.complete_since(this->now));
+}
+
+// Guards against health and observations of an incarnation of another software version under the same id.
+TEST_CASE_FIXTURE(upstream_table_fixture, "update_other_software_version_is_another_incarnation") {
+    this->table.observe_adapter("u", "m", "a", true, 9u, this->now);
+    this->entry.software_version = "v2";
+    this->table.update(this->entry, this->now);
+    CHECK(this->table.find("u")->adapter_version("m", "a", this->now) == 2u);
+}
+
 } // namespace lagoonsaddle::edge
