edge: ask the replicas for the versions of a service also when a caller names no first request

What callers saw: on a node that had just started, a stream that they took up without naming its first request was refused, although its service had only ever shown one software version. Cause: without a first request nobody was asked, and the node itself had not seen the upstreams for long enough.

--- a/src/lagoonsaddle/edge/stream_origin_service.cpp
+++ b/src/lagoonsaddle/edge/stream_origin_service.cpp
@@ -148,7 +148,7 @@
 asio::awaitable<std::optional<stream_origin>> stream_origin_service::resolve(std::string request, std::string service) {
     auto found = this->look_up(request, service);
     const std::string_view source = found.origin ? "local" : "peer";
-    if(!found.origin && !request.empty()) {
+    if(!found.origin && (!request.empty() || !found.versions_complete)) {
         wire::stream_origin_get question{.request = request, .service = service};
         co_await this->ask_replicas(std::move(question), found);
     }
--- a/test/platform_node/software_version_test.py
+++ b/test/platform_node/software_version_test.py
@@ -100,7 +100,9 @@
         headers = {"Host": "h", "X-Attempt-Id": request_id, "X-Model": f"m/{self.adapter}", "X-Token-Count": "10,4",
                    "X-Deadline-Ms": "8000"}
         if self.events:
-            headers.update({"Resumes": self.first_request, "Last-Event-Id": str(self.events[-1][0])})
+            headers["Last-Event-Id"] = str(self.events[-1][0])
+        if self.first_request:
+            headers["Resumes"] = self.first_request
         begin = time.monotonic()
         connection = http.client.HTTPConnection(node.ip, node.ports[0], timeout=30)
         try:
@@ -293,11 +295,15 @@
             engine.publish_entry("ready")
         self.start_fleet(2)
         time.sleep(ROUTE_TIMEOUT_MS / 1000 + LATE_ENTRY_S)
-        stream = Stream("only")
-        stream.first_request, stream.events = "never-seen", [(1, "v1"), (2, "v1")]
-        stream.send(self.nodes[1], next(self.ids))
-        self.assertTrue(stream.complete, stream.statuses)
-        self.assert_unmixed([stream])
+        started = self.add_node()
+        self.eventually(started.is_ready, "the node is ready")
+        for node in self.nodes:
+            for first_request in ("never-seen", None):
+                stream = Stream(next(self.adapters))
+                stream.first_request, stream.events = first_request, [(1, "v1"), (2, "v1")]
+                stream.send(node, next(self.ids))
+                self.assertTrue(stream.complete, stream.statuses)
+                self.assert_unmixed([stream])
 
 
 class RestartedEngineTest(SoftwareVersionCase):
