soak: move links, upstreams and callers out of world.py

Change: links.py, upstreams.py and callers.py, with the constants that belong to them; no other change.

--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -4,6 +4,8 @@
 import threading
 import time
 
+import callers
+import upstreams
 import world
 
 # Bounds in seconds. Most checks skip calls with a fault active within STABILIZATION_S before them.
@@ -81,7 +83,7 @@
         expected = f"body{call.id}{call.id}"
         if call.kind == "stream":
             expected = "".join(f"id: {number}\ndata: {call.adapter} {call.id}\n\n"
-                               for number in range(1, world.EVENTS_PER_STREAM + 1))
+                               for number in range(1, upstreams.EVENTS_PER_STREAM + 1))
         unmarked = call.id in cluster.unmarked_ends and call.body.endswith(b"\n\n")
         if call.body != expected.encode() and not (unmarked and expected.encode().startswith(call.body)):
             violations.append(f"wrong body: {call.id} {call.kind} got {call.body[:120]!r}")
@@ -90,7 +92,7 @@
 
 def check_deadlines(cluster, calls):
     """Requests that reach their deadline are answered at the deadline, up to a small share of late ones."""
-    limit = world.DEADLINE_MS / 1000
+    limit = callers.DEADLINE_MS / 1000
     expired = [call for call in calls if call.sent and call.end - call.begin >= limit and
                not cluster.disturbed(call.begin - STABILIZATION_S, call.end, call.node)]
     late = [call for call in expired if call.end - call.begin > limit + LATENESS_TOLERANCE_S]
@@ -190,9 +192,9 @@
     """Retries of all nodes together stay within the retry budget."""
     violations = []
     services = {"llm": (cluster.engines, ("stream",)), "plain": (cluster.services, ("safe", "unsafe", "moving"))}
-    for name, (upstreams, kinds) in services.items():
+    for name, (servers, kinds) in services.items():
         seen, retries = set(), []
-        for at, request_id in sorted(arrival for upstream in upstreams for arrival in upstream.arrivals):
+        for at, request_id in sorted(arrival for upstream in servers for arrival in upstream.arrivals):
             if request_id in seen:
                 retries.append(at)
             seen.add(request_id)
@@ -230,7 +232,7 @@
     for service in cluster.services:
         arrivals = sorted(at for at, _ in service.arrivals)
         for refused_at in service.refusal_times:
-            begin, end = refused_at + HOLD_TOLERANCE_S, refused_at + world.RETRY_AFTER_S
+            begin, end = refused_at + HOLD_TOLERANCE_S, refused_at + upstreams.RETRY_AFTER_S
             count = sum(begin < at < end for at in arrivals)
             if count > HOLD_REQUESTS_PER_NODE * len(cluster.nodes) and not cluster.disturbed(
                     refused_at - STABILIZATION_S, end):
@@ -255,16 +257,16 @@
 
 def check_recovery(cluster, limit_s):
     """Sends requests until each node serves each kind; returns a line for each that fails for limit_s."""
-    callers = world.Callers.__new__(world.Callers)
-    callers.cluster, callers.calls, callers.lock = cluster, [], threading.Lock()
-    callers.request_numbers = iter(range(1 << 60, 1 << 61))
+    probes = callers.Callers.__new__(callers.Callers)
+    probes.cluster, probes.calls, probes.lock = cluster, [], threading.Lock()
+    probes.request_numbers = iter(range(1 << 60, 1 << 61))
     pending = {(node.name, kind): node for node in cluster.nodes for kind in ("stream", "safe", "unsafe")}
     end = time.monotonic() + limit_s
     while pending and time.monotonic() < end:
         for (name, kind), node in list(pending.items()):
-            call = callers.send_request(node, kind, "a0")
+            call = probes.send_request(node, kind, "a0")
             if call.status == 200 and call.complete:
                 del pending[(name, kind)]
         time.sleep(PROBE_INTERVAL_S)
-    cluster.probes = {call.id for call in callers.calls}
+    cluster.probes = {call.id for call in probes.calls}
     return [f"recovery: {name} does not serve {kind} {limit_s} s after the last fault" for name, kind in pending]
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -17,7 +17,9 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
+import callers  # noqa: E402
 import promises  # noqa: E402
+import upstreams  # noqa: E402
 import world  # noqa: E402
 
 # Seeds that failed before, with the cause of the failure.
@@ -130,7 +132,7 @@
     def slow_engine(self):
         engine = self.rng.choice(self.cluster.engines)
         engine.event_interval_s = 0.3
-        self.end_after(2.0, lambda: setattr(engine, "event_interval_s", world.EVENT_INTERVAL_S))
+        self.end_after(2.0, lambda: setattr(engine, "event_interval_s", upstreams.EVENT_INTERVAL_S))
 
     def crash_on_part(self):
         """Lets one prompt part crash engines until the end of the run; there is only one such part."""
@@ -138,7 +140,7 @@
 
     def spoil_answers(self):
         engine = self.rng.choice(self.cluster.engines)
-        engine.answer_fault = self.rng.choice(world.ANSWER_FAULTS)
+        engine.answer_fault = self.rng.choice(upstreams.ANSWER_FAULTS)
         engine.link.disturbances.begin()
         self.end_after(self.rng.uniform(1.0, 6.0), lambda: self.end_spoiling(engine))
 
@@ -156,7 +158,7 @@
         self.cluster.write_next_configuration()
 
     def new_version(self):
-        self.cluster.announce_next_version(self.rng.randrange(world.ADAPTERS))
+        self.cluster.announce_next_version(self.rng.randrange(callers.ADAPTERS))
 
 
 def run_seed(seed, arguments, directory):
@@ -165,7 +167,7 @@
     cluster = world.Cluster(directory, arguments.nodes, arguments.engines)
     try:
         cluster.start()
-        callers = world.Callers(cluster, seed)
+        load = callers.Callers(cluster, seed)
         faults = Faults(cluster, rng)
         end = time.monotonic() + arguments.seconds
         while time.monotonic() < end:
@@ -174,10 +176,10 @@
         faults.finish()
         cluster.restore()
         violations = promises.check_recovery(cluster, RECOVERY_LIMIT_S)
-        callers.stop()
+        load.stop()
         # Data buffered in the fault links may reach an upstream after its request was answered.
         time.sleep(LINK_FLUSH_S)
-        return violations + promises.check(cluster, callers.calls), len(callers.calls)
+        return violations + promises.check(cluster, load.calls), len(load.calls)
     finally:
         cluster.close()
 
