soak: engines of two software versions, and callers that take streams up again

Change: engines state a version, and may come back at the other one after a crash, under their ids or others; a resumable route, whose streams callers take up twice on any node; each event names its first request and the version that made it. Checked are the two rules: streams of two versions, and the share of taken-up streams that go on.

--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -23,6 +23,10 @@
 LOST_S = 0.2
 PART_CRASHES_MAX = 5
 PART_REQUESTS_MAX = 3
+MIXED_STREAMS_MAX = 2
+# Streams that are taken up, from which on the share of those that go on counts, relative to new streams that begin.
+RESUMED_MIN = 12
+RESUMED_SHARE_MIN = 0.5
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # The recovery check calls all nodes repeatedly; each call may wait for a load.
 PROBE_INTERVAL_S = 0.1
@@ -39,9 +43,10 @@
     """Returns one line for each violated invariant."""
     return (check_at_most_once(cluster, calls) + check_refusals(cluster, calls) + check_response_bodies(cluster, calls) +
             check_deadlines(cluster, calls) + check_adapter_slots(cluster) + check_fencing_tokens(cluster) +
-            check_order_turns(cluster) +            check_route_changes(cluster, calls) + check_draining(cluster) + check_shutdowns(cluster, calls) +
+            check_order_turns(cluster) + check_route_changes(cluster, calls) + check_draining(cluster) + check_shutdowns(cluster, calls) +
             check_retry_budget(cluster, calls) + check_limits(cluster) + check_times_to_return(cluster) +
-            check_crashing_parts(cluster, calls))
+            check_crashing_parts(cluster, calls) + check_software_versions(cluster, calls) +
+            check_resumed_share(cluster, calls))
 
 
 def executions_by_id(cluster):
@@ -80,16 +85,51 @@
     for call in calls:
         if call.status != 200 or not call.complete:
             continue
-        expected = f"body{call.id}{call.id}"
-        if call.kind == "stream":
-            expected = "".join(f"id: {number}\ndata: {call.adapter} {call.id}\n\n"
-                               for number in range(1, upstreams.EVENTS_PER_STREAM + 1))
-        unmarked = call.id in cluster.unmarked_ends and call.body.endswith(b"\n\n")
-        if call.body != expected.encode() and not (unmarked and expected.encode().startswith(call.body)):
+        if not (is_whole_stream(cluster, call) if call.kind in callers.STREAM_KINDS else
+                call.body == f"body{call.id}{call.id}".encode()):
             violations.append(f"wrong body: {call.id} {call.kind} got {call.body[:120]!r}")
     return violations
 
 
+def is_whole_stream(cluster, call):
+    """Returns whether a complete response has all events of its stream, or as many as its engine sent without a mark."""
+    events = call.events
+    expected = list(range(call.last_event + 1, upstreams.EVENTS_PER_STREAM + 1))
+    unmarked = call.id in cluster.unmarked_ends and call.body.endswith(b"\n\n")
+    first_request = call.resumes.id if call.resumes else call.id
+    labelled = all(event.adapter == call.adapter and event.first_request == first_request for event in events)
+    numbers = [event.number for event in events]
+    only_events = callers.EVENT.sub(b"", call.body) == b""
+    return labelled and only_events and (numbers == expected or unmarked and numbers == expected[:len(numbers)])
+
+
+def check_software_versions(cluster, calls):
+    """At most MIXED_STREAMS_MAX streams hold events of two software versions, in one answer or over a caller's tries."""
+    versions = collections.defaultdict(set)
+    for call in calls:
+        if call.kind == "resumable":
+            versions[call.resumes.id if call.resumes else call.id].update(event.version for event in call.events)
+    mixed = [request_id for request_id, seen in versions.items() if len(seen) > 1]
+    if len(mixed) <= MIXED_STREAMS_MAX:
+        return []
+    return [f"software versions: {len(mixed)} streams hold events of two versions, first {mixed[0]}"]
+
+
+def check_resumed_share(cluster, calls):
+    """Of the streams that are taken up where two engines of their version serve, the share that goes on is at least
+    RESUMED_SHARE_MIN of the share of new streams that begin."""
+    sent = [call for call in calls if call.kind == "resumable" and call.sent and
+            not cluster.disturbed(call.begin - STABILIZATION_S, call.end, call.node)]
+    resumed = [call for call in sent if call.resumes and call.engines_of_version >= 2]
+    begun = [call for call in sent if not call.resumes]
+    if len(resumed) < RESUMED_MIN or not begun:
+        return []
+    share, new_share = (sum(bool(call.events) for call in group) / len(group) for group in (resumed, begun))
+    if share >= RESUMED_SHARE_MIN * new_share:
+        return []
+    return [f"resumed streams: {share:.2f} of {len(resumed)} go on, {new_share:.2f} of {len(begun)} new ones begin"]
+
+
 def check_deadlines(cluster, calls):
     """Requests that reach their deadline are answered at the deadline, up to a small share of late ones."""
     limit = callers.DEADLINE_MS / 1000
@@ -191,7 +231,7 @@
 def check_retry_budget(cluster, calls):
     """Retries of all nodes together stay within the retry budget."""
     violations = []
-    services = {"llm": (cluster.engines, ("stream",)), "plain": (cluster.services, ("safe", "unsafe", "moving"))}
+    services = {"llm": (cluster.engines, callers.STREAM_KINDS), "plain": (cluster.services, ("safe", "unsafe", "moving"))}
     for name, (servers, kinds) in services.items():
         seen, retries = set(), []
         for at, request_id in sorted(arrival for upstream in servers for arrival in upstream.arrivals):
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -116,7 +116,8 @@
     def crash_engine(self):
         engine = self.rng.choice(self.cluster.engines)
         engine.crash(same_id=self.rng.random() < 0.5)
-        self.end_after(self.rng.uniform(0.5, 3.0), engine.restart)
+        version = self.rng.choice(upstreams.SOFTWARE_VERSIONS)
+        self.end_after(self.rng.uniform(0.5, 3.0), lambda: engine.restart(version))
 
     def drain_engine(self):
         engine = self.rng.choice(self.cluster.engines)
--- a/test/soak/upstreams.py
+++ b/test/soak/upstreams.py
@@ -24,6 +24,7 @@
 # Ways in which an engine spoils the answers that it has begun.
 ANSWER_FAULTS = ("half_event", "unframed", "unframed_half_event", "unframed_empty", "endless", "second_copy", "trickle")
 ANSWER_FAULT_SHARE = 0.3
+SOFTWARE_VERSIONS = ("v1", "v2")
 
 
 def chunk(data):
@@ -84,6 +85,7 @@
     def __init__(self, cluster, number):
         self.init_records(cluster, f"engine-{number}")
         self.number, self.id_suffixes, self.running = number, itertools.count(), True
+        self.software_version = SOFTWARE_VERSIONS[number % len(SOFTWARE_VERSIONS)]
         self.incarnation, self.state = 1, "ready"
         self.runs, self.unloading = collections.Counter(), set()
         self.answer_fault, self.rng = "", random.Random(number)
@@ -97,7 +99,7 @@
             self.start_link()
         self.state = state
         entry = {"service": "llm", "address": self.link.address, "zone": self.zone, "slots": 8, "state": state,
-                 "born": self.incarnation, "seq": self.order_count,
+                 "born": self.incarnation, "seq": self.order_count, "version": self.software_version,
                  "models": [{"name": "m", "version": 1, "adapters": self.resident_versions()}]}
         self.store.put("servers", self.name, entry)
 
@@ -229,11 +231,13 @@
         handler.wfile.write(sent[0])
         if fault == "unframed_empty":
             return False
-        for number in range(1, EVENTS_PER_STREAM + 1):
+        # A stream that is resumed names its first request; its events tell that request and the version that made them.
+        origin = f"{handler.headers.get('Resumes') or request_id} {self.software_version}"
+        for number in range(int(handler.headers.get("Last-Event-Id", 0)) + 1, EVENTS_PER_STREAM + 1):
             if not self.running or self.incarnation != incarnation:
                 handler.close_connection = True
                 return False
-            event = f"id: {number}\ndata: {adapter} {request_id}\n\n".encode()
+            event = f"id: {number}\ndata: {adapter} {origin}\n\n".encode()
             if number == EVENTS_PER_STREAM and fault.endswith("half_event"):
                 event = event[:-4]
             sent.append(chunk(event) if framed else event)
@@ -277,11 +281,12 @@
             self.cluster.call_later(ENTRY_EXPIRY_S, lambda name=self.name: self.store.put("servers", name, None))
             self.name = f"i-{self.number}-{next(self.id_suffixes)}"
 
-    def restart(self):
-        """Starts without adapters, under the id that `crash` has set; does nothing when the engine runs."""
+    def restart(self, version=None):
+        """Starts without adapters, under the id that `crash` has set and at a version; does nothing when it runs."""
         if self.running:
             return
         with self.lock:
+            self.software_version = version or self.software_version
             self.resident, self.loading, self.order_count, self.highest_fence = {}, {}, 0, 0
             self.unloading.clear()
             self.incarnation += 1
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -164,6 +164,8 @@
         moving_path = f"/v{version}/"
         base = {"host": "h", "timeoutMs": TIMEOUT_MS, "targetLatencyMs": 1000, "maxAttempts": 2}
         routes = [{**base, "name": "stream", "pathPrefix": "/stream/", "kind": "streaming", "service": "llm"},
+                  {**base, "name": "resumable", "pathPrefix": "/resumable/", "kind": "streaming", "service": "llm",
+                   "resumable": True},
                   {**base, "name": "safe", "pathPrefix": "/safe/", "kind": "safe", "service": "plain"},
                   {**base, "name": "unsafe", "pathPrefix": "/unsafe/", "kind": "unsafe", "service": "plain"},
                   {**base, "name": "moving", "pathPrefix": moving_path, "kind": "safe", "service": "plain"}]
@@ -245,6 +247,11 @@
             if engine.state != "ready" or engine.states_leaving:
                 engine.replace()
 
+    def count_serving(self, version):
+        """Returns the number of engines that take requests at a software version."""
+        return sum(engine.running and engine.state == "ready" and not engine.states_leaving and
+                   engine.software_version == version for engine in self.engines)
+
     def out_of_touch(self, begin, end, node):
         """Returns whether a fault affected the store or the node, engines apart."""
         return any(item.overlaps(begin, end) for item in
