edge, http: log each failed call to the store, and whether its connection was reused

Cause: the log showed only the first failure of an outage; the hypotheses of docs/incidents/returned-store.md differ in the calls that follow it. Change: event=store_call_failed with kind, call, duration, whether the watcher probes, and the error, which names a reused connection.

--- a/src/lagoonsaddle/edge/record_watcher.cpp
+++ b/src/lagoonsaddle/edge/record_watcher.cpp
@@ -37,7 +37,14 @@
         this->settings.kind, *this->last_revision, this->settings.watch_timeout, this->settings.required_freshness());
 }
 
-void record_watcher::handle_failure(const core::error& failure) {
+void record_watcher::handle_failure(const core::error& failure, bool is_list, core::duration elapsed) {
+    this->log.write(log_line{"store_call_failed"}
+                        .add("kind", to_string(this->settings.kind))
+                        .add("call", is_list ? "list" : "watch")
+                        .add("ms", to_milliseconds(elapsed))
+                        .add("probe", this->backoff.is_probing(this->settings.kind) ? 1 : 0)
+                        .add("reason", core::to_string(failure.cause))
+                        .add("message", failure.message));
     if(!this->failing_since) {
         this->failing_since = this->clock.now();
         this->log.write(log_line{"store_lost"}
@@ -97,6 +104,7 @@
 asio::awaitable<void> record_watcher::run() {
     while(true) {
         bool is_list{};
+        const auto begin = this->clock.now();
         const auto page = co_await this->fetch_records(is_list);
         std::chrono::milliseconds delay{0};
         if(page) {
@@ -106,7 +114,7 @@
             this->log.write(log_line{"store_history_gone"}.add("kind", to_string(this->settings.kind)));
             this->last_revision.reset();
         } else {
-            this->handle_failure(page.error());
+            this->handle_failure(page.error(), is_list, this->clock.now() - begin);
             co_await this->backoff.wait_after_failure(this->settings.kind);
         }
         if(delay.count() > 0) {
--- a/src/lagoonsaddle/edge/record_watcher.hpp
+++ b/src/lagoonsaddle/edge/record_watcher.hpp
@@ -84,7 +84,7 @@
 private:
     /*! @brief Lists or watches the records. Sets `is_list` to whether the records were listed. */
     [[nodiscard]] boost::asio::awaitable<core::result<record_page>> fetch_records(bool& is_list);
-    void handle_failure(const core::error& failure);
+    void handle_failure(const core::error& failure, bool is_list, core::duration elapsed);
     void handle_success();
     /*! @brief Passes on the records of a page; returns the delay until the next call. */
     [[nodiscard]] std::chrono::milliseconds apply_page(const record_page& page, bool is_list);
--- a/src/lagoonsaddle/edge/store_backoff.hpp
+++ b/src/lagoonsaddle/edge/store_backoff.hpp
@@ -42,6 +42,11 @@
     /*! @brief Records that the store answered, and wakes all waiting watchers. */
     void record_success();
 
+    /*! @brief Returns whether the watcher of a kind probes the store at present. */
+    [[nodiscard]] bool is_probing(record_kind kind) const noexcept {
+        return this->probing_kind == kind;
+    }
+
     /*! @brief Returns the delay before the next retry of the probing watcher. */
     [[nodiscard]] std::chrono::milliseconds next_delay() const noexcept;
 
--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -352,8 +352,9 @@
     [[nodiscard]] tl::unexpected<core::error> lost(const boost::system::error_code& failure) {
         this->failed = true;
         const auto cause = this->guard.expired() ? core::reason::timeout : core::reason::connection_lost;
-        return core::fail(cause, core::verdict::may_have_run,
-            core::to_string(this->target) + ": " + (this->guard.expired() ? "timed out" : failure.message()));
+        auto message = core::to_string(this->target) + ": " + (this->guard.expired() ? "timed out" : failure.message());
+        message += this->from_pool ? " on a reused connection" : "";
+        return core::fail(cause, core::verdict::may_have_run, std::move(message));
     }
 
     [[nodiscard]] bool reusable() const {
