--- a/test/platform_node/entry_node_case.py
+++ b/test/platform_node/entry_node_case.py
@@ -96,13 +96,14 @@
 class EntryNodeCase(unittest.TestCase):
     """Each test starts its own store, engines and nodes."""
 
+    STORE_TYPE = standin.Store
     ENGINE_TYPE = standin.Engine
     ENGINE_COUNT = 2
     CONFIGURATION = CONFIGURATION
 
     def setUp(self):
         self.ids = map("{:016x}".format, itertools.count(1))
-        self.store = standin.Store()
+        self.store = self.STORE_TYPE()
         self.engines = [self.ENGINE_TYPE(self.store, f"i-{number}", "z") for number in range(self.ENGINE_COUNT)]
         self.ports = [free_port() for _ in range(3)]
         self.nodes = []
