edge, platform: probe a store that does not answer with short calls

Callers saw: 404 for a route, or the service of an older version, more than 2 s after the new version was acknowledged, when the store had been silent before. Cause: after a failed call a watcher repeated its watch, which may take 1.9 s (5 s for leases and versions) and 0.8 s more. One that began before the store's return hung until then. The others waited 1.5 s for the one that probed, in most plays that of leases, and then began such a call themselves: up to 4.2 s after the return. Class: the time-out of a probe is that of the operation, not that of the answer to be expected.

--- a/src/lagoonsaddle/edge/record_watcher.cpp
+++ b/src/lagoonsaddle/edge/record_watcher.cpp
@@ -34,7 +34,7 @@
         co_return co_await this->store.list(this->settings.kind);
     }
     co_return co_await this->store.watch(
-        this->settings.kind, *this->last_revision, this->settings.watch_timeout, this->settings.required_freshness());
+        this->settings.kind, *this->last_revision, this->next_watch_timeout(), this->settings.required_freshness());
 }
 
 void record_watcher::handle_failure(const core::error& failure, bool is_list, core::duration elapsed) {
--- a/src/lagoonsaddle/edge/record_watcher.hpp
+++ b/src/lagoonsaddle/edge/record_watcher.hpp
@@ -20,6 +20,9 @@
     record_kind kind{record_kind::configuration};
     /*! @brief Maximum duration of one watch call; limits the time for which a dead connection goes unnoticed. */
     std::chrono::milliseconds watch_timeout{2'500};
+    /*! @brief Maximum duration of a watch after a failed call: one that begins before the store returns may never be
+     * answered, and delays the next one. */
+    std::chrono::milliseconds probe_timeout{1};
     /*! @brief Delay after a watch that returned changes, which the store bills one by one. */
     std::chrono::milliseconds delay_after_changes{0};
     /*! @brief Called before each watch: how old its data may be. */
@@ -82,6 +85,11 @@
     }
 
 private:
+    /*! @brief Returns the maximum duration of the next watch. */
+    [[nodiscard]] std::chrono::milliseconds next_watch_timeout() const noexcept {
+        return this->failing_since ? this->settings.probe_timeout : this->settings.watch_timeout;
+    }
+
     /*! @brief Lists or watches the records. Sets `is_list` to whether the records were listed. */
     [[nodiscard]] boost::asio::awaitable<core::result<record_page>> fetch_records(bool& is_list);
     void handle_failure(const core::error& failure, bool is_list, core::duration elapsed);
--- a/test/edge/record_watcher_test.cpp
+++ b/test/edge/record_watcher_test.cpp
@@ -27,7 +27,8 @@
     }
 
     asio::awaitable<core::result<record_page>> watch(
-        record_kind, std::uint64_t revision, std::chrono::milliseconds, freshness required) override {
+        record_kind, std::uint64_t revision, std::chrono::milliseconds timeout, freshness required) override {
+        this->watch_timeouts.push_back(timeout);
         this->calls.push_back("watch " + std::to_string(revision) + (required == freshness::stale ? " stale" : ""));
         co_return this->next_response();
     }
@@ -46,6 +47,7 @@
 
     std::deque<core::result<record_page>> responses{};
     std::vector<std::string> calls{};
+    std::vector<std::chrono::milliseconds> watch_timeouts{};
 
 private:
     [[nodiscard]] core::result<record_page> next_response() {
@@ -94,9 +96,12 @@
 struct record_watcher_fixture {
     void run() {
         record_watcher watcher{this->store, this->observer, this->backoff, this->clock, this->log,
-            {.kind = record_kind::upstreams, .required_freshness = [this] {
-                 return this->required_freshness;
-             }}};
+            {.kind = record_kind::upstreams,
+                .watch_timeout = watch_timeout,
+                .probe_timeout = probe_timeout,
+                .required_freshness = [this] {
+                    return this->required_freshness;
+                }}};
         asio::co_spawn(
             this->context, [&watcher] { return watcher.run(); }, asio::detached);
         this->context.run();
@@ -111,6 +116,8 @@
     }
 
     using string_list = std::vector<std::string>;
+    static constexpr std::chrono::milliseconds watch_timeout{2'000};
+    static constexpr std::chrono::milliseconds probe_timeout{1};
 
     asio::io_context context{};
     core::manual_clock clock{};
@@ -174,4 +181,15 @@
     CHECK(this->observer.events == string_list{"listed 5", "returned", "changed 6"});
 }
 
+// Guards against records that are late after an outage: a long watch that begins before the store returns may hang.
+TEST_CASE_FIXTURE(record_watcher_fixture, "run_after_failure_watches_briefly_until_store_answers") {
+    this->store.responses.emplace_back(page(5u, true));
+    this->store.responses.emplace_back(core::fail(core::reason::timeout, "silent"));
+    this->store.responses.emplace_back(core::fail(core::reason::timeout, "silent"));
+    this->store.responses.emplace_back(page(5u, false));
+    this->run();
+    CHECK(this->store.watch_timeouts ==
+          std::vector<std::chrono::milliseconds>{watch_timeout, probe_timeout, probe_timeout, watch_timeout});
+}
+
 } // namespace lagoonsaddle::edge
