http: close the idle connections to the store with one that is lost

Change: option close_idle_after_loss, which the client of the store and of upstream control sets. Connections for requests keep theirs: a request that times out shows nothing about the others. Result: client_lost_exchange_closes_idle_connections_to_its_endpoint fails without the option (3 connections made, not 4).

--- a/bin/entry.cpp
+++ b/bin/entry.cpp
@@ -77,7 +77,8 @@
         .unacknowledged_timeout = unacknowledged_timeout}};
     http::client control_client{http::client_options{.connect_timeout = connect_timeout,
         .idle_timeout = idle_timeout,
-        .unacknowledged_timeout = unacknowledged_timeout}};
+        .unacknowledged_timeout = unacknowledged_timeout,
+        .close_idle_after_loss = true}};
     const host_platform::request_format format{};
     host_platform::store_client store{
         control_client, host_platform::store_client_options{.server = settings.store_address}};
--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -107,6 +107,12 @@
         entries.push_back(entry{.socket = std::move(socket), .since = now, .expires = now + keep});
     }
 
+    /*! @brief Closes the idle connections to an endpoint. */
+    void close_idle(const core::endpoint& target) {
+        const std::lock_guard lock{this->mutex};
+        this->idle.erase(target);
+    }
+
     void count_connection() noexcept {
         this->made.fetch_add(1u, std::memory_order_relaxed);
     }
@@ -351,6 +357,9 @@
 
     [[nodiscard]] tl::unexpected<core::error> lost(const boost::system::error_code& failure) {
         this->failed = true;
+        if(this->connections->options().close_idle_after_loss) {
+            this->connections->close_idle(this->target);
+        }
         const auto cause = this->guard.expired() ? core::reason::timeout : core::reason::connection_lost;
         auto message = core::to_string(this->target) + ": " + (this->guard.expired() ? "timed out" : failure.message());
         message += this->from_pool ? " on a reused connection" : "";
--- a/src/lagoonsaddle/http/client.hpp
+++ b/src/lagoonsaddle/http/client.hpp
@@ -25,6 +25,9 @@
     std::size_t body_limit_bytes{8u * 1024u * 1024u};
     /*! @brief Time after which unacknowledged data ends a connection; zero leaves it to the system. */
     std::chrono::milliseconds unacknowledged_timeout{0};
+    /*! @brief Closes the idle connections to an endpoint when an exchange with it is lost or times out: what silenced
+     * that connection may have silenced them as well. */
+    bool close_idle_after_loss{false};
 };
 
 /*! @brief Lets another coroutine on the same executor end an exchange, from its start on. Not thread-safe. */
--- a/test/http/loopback_test.cpp
+++ b/test/http/loopback_test.cpp
@@ -82,6 +82,11 @@
         return asio::co_spawn(asio::make_strand(this->context), std::move(operation), asio::use_future).get();
     }
 
+    core::result<std::unique_ptr<response_stream>> open(client& sender, std::string target) {
+        return this->await(sender.open({.address = "127.0.0.1", .port = this->listener.port()},
+            request{.method = "POST", .target = std::move(target)}, exchange_timeout));
+    }
+
     core::result<response> call(std::string target, std::string body = {}) {
         return this->await(this->requester.send({.address = "127.0.0.1", .port = this->listener.port()},
             request{.method = "POST", .target = std::move(target), .headers = {}, .body = std::move(body)},
@@ -141,6 +146,26 @@
     CHECK(answer.error().verdict == core::verdict::may_have_run);
 }
 
+// Guards against requests on idle connections that fell silent together with one that was lost.
+TEST_CASE_FIXTURE(loopback_fixture, "client_lost_exchange_closes_idle_connections_to_its_endpoint") {
+    client sender{client_options{.close_idle_after_loss = true}};
+    {
+        auto first = this->open(sender, "/echo");
+        auto second = this->open(sender, "/echo");
+        auto third = this->open(sender, "/truncated");
+        REQUIRE((first && second && third));
+        CHECK(this->await((*first)->read()).has_value());
+        CHECK(this->await((*second)->read()).has_value());
+        first->reset();
+        second->reset();
+        while(this->await((*third)->read())) {
+        }
+    }
+    CHECK(sender.connections_made() == 3u);
+    CHECK(this->open(sender, "/echo").has_value());
+    CHECK(sender.connections_made() == 4u);
+}
+
 // Guards against a handler fault that leaves the caller without an answer.
 TEST_CASE_FIXTURE(loopback_fixture, "server_handler_throws_answers_500") {
     const auto answer = this->call("/throws");
