wire, core: links between nodes that fall silent end after a second

Cause: a connection between two nodes that falls silent without a reset stays open: neither side had a time-out for unacknowledged data, and a call that times out does not end the link. Change: TCP_USER_TIMEOUT of 1 s on links, by the function that the HTTP client uses too.

--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -4,11 +4,11 @@
 #include <deque>
 #include <map>
 #include <mutex>
-#include <netinet/tcp.h>
 #include <optional>
 #include <string_view>
 #include <utility>
 
+#include <lagoonsaddle/core/tcp_options.hpp>
 #include <lagoonsaddle/http/client.hpp>
 #include <lagoonsaddle/http/internal_beast.hpp>
 
@@ -219,7 +219,7 @@
         this->connections->count_connection();
         this->socket->set_option(tcp::no_delay{true}, failure);
         if(const auto timeout = this->connections->options().unacknowledged_timeout; timeout.count() > 0) {
-            this->socket->set_option(user_timeout{static_cast<int>(timeout.count())}, failure);
+            core::set_unacknowledged_timeout(*this->socket, timeout);
         }
         co_return core::result<void>{};
     }
@@ -277,8 +277,6 @@
     }
 
 private:
-    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-
     static constexpr std::size_t read_size{8u * 1024u};
     /*! @brief A body up to this size is written before the response is read. A peer that responds before it has read a
      * larger one would block the writer. */
--- a/src/lagoonsaddle/wire/internal_link.hpp
+++ b/src/lagoonsaddle/wire/internal_link.hpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -20,6 +21,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <lagoonsaddle/core/tcp_options.hpp>
 #include <lagoonsaddle/wire/frame.hpp>
 
 namespace lagoonsaddle::wire::internal {
@@ -33,6 +35,7 @@
     explicit link(boost::asio::ip::tcp::socket connected) : socket{std::move(connected)} {
         boost::system::error_code ignored{};
         this->socket.set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
+        core::set_unacknowledged_timeout(this->socket, unacknowledged_timeout);
     }
 
     /**
@@ -84,6 +87,8 @@
     }
 
 private:
+    /*! @brief Ends a link that has fallen silent, so that the next message is sent over a new one. */
+    static constexpr std::chrono::milliseconds unacknowledged_timeout{1'000};
     static constexpr std::size_t read_size{32u * 1024u};
     // A peer that does not read is cut off before it takes the node's memory.
     static constexpr std::size_t outbound_limit_bytes{32u * 1024u * 1024u};
