--- a/src/lagoonsaddle/edge/store_backoff.hpp
+++ b/src/lagoonsaddle/edge/store_backoff.hpp
@@ -2,8 +2,10 @@
 #define LAGOONSADDLE_EDGE_STORE_BACKOFF_HPP
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -15,11 +17,13 @@
 
 /*! @brief Options of `store_backoff`. */
 struct store_backoff_options {
-    /*! @brief Delay before the first retry of a failed call; doubles with each failure up to `delay_max`. */
+    /*! @brief Longest delay before the first retry of a failed call; doubles with each failure up to `delay_max`. */
     std::chrono::milliseconds delay_min{60};
     std::chrono::milliseconds delay_max{400};
     /*! @brief Longest time that the other watchers wait for the result of the probing watcher. */
     std::chrono::milliseconds probe_wait_max{1'500};
+    /*! @brief Seed of the jitter. */
+    std::uint32_t seed{std::random_device{}()};
 };
 
 /**
@@ -47,12 +51,17 @@
         return this->probing_kind == kind;
     }
 
-    /*! @brief Returns the delay before the next retry of the probing watcher. */
-    [[nodiscard]] std::chrono::milliseconds next_delay() const noexcept;
+    /*! @brief Returns the longest delay before the next retry of the probing watcher. */
+    [[nodiscard]] std::chrono::milliseconds next_delay_max() const noexcept;
+
+    /*! @brief Draws the delay before the next retry, between half and all of the longest one: nodes that lost the store
+     * together must not all call it again at the same time. */
+    [[nodiscard]] std::chrono::milliseconds draw_delay();
 
 private:
     boost::asio::io_context& context;
     store_backoff_options settings;
+    std::minstd_rand random;
     /*! @brief Timers of the watchers, one for each kind of record. */
     std::map<record_kind, boost::asio::steady_timer> timers{};
     /*! @brief Kind of record whose watcher probes the store; empty while the store answers. */
--- a/test/edge/store_backoff_test.cpp
+++ b/test/edge/store_backoff_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -84,14 +85,29 @@
     CHECK(retries == 1);
 }
 
+// Guards against nodes that all repeat their calls at the same time because they lost the store together.
+TEST_CASE_FIXTURE(store_backoff_fixture, "draw_delay_other_seed_returns_other_delays_between_half_and_longest") {
+    store_backoff first{this->context, store_backoff_options{.delay_min = 400ms, .seed = 1u}};
+    store_backoff second{this->context, store_backoff_options{.delay_min = 400ms, .seed = 1'000u}};
+    std::vector<std::chrono::milliseconds> delays_of_first{};
+    std::vector<std::chrono::milliseconds> delays_of_second{};
+    for(int draw{}; draw < 20; ++draw) {
+        delays_of_first.push_back(first.draw_delay());
+        delays_of_second.push_back(second.draw_delay());
+        CHECK(delays_of_first.back() >= 200ms);
+        CHECK(delays_of_first.back() <= 400ms);
+    }
+    CHECK(delays_of_first != delays_of_second);
+}
+
 // Guards against a delay that grows without bound or is not reset by a success.
-TEST_CASE_FIXTURE(store_backoff_fixture, "next_delay_grows_to_limit_and_is_reset") {
-    CHECK(this->backoff.next_delay() == 5ms);
+TEST_CASE_FIXTURE(store_backoff_fixture, "next_delay_max_grows_to_limit_and_is_reset") {
+    CHECK(this->backoff.next_delay_max() == 5ms);
     this->run_failing_watcher(record_kind::leases);
     this->context.run_for(150ms);
-    CHECK(this->backoff.next_delay() == 20ms);
+    CHECK(this->backoff.next_delay_max() == 20ms);
     this->backoff.record_success();
-    CHECK(this->backoff.next_delay() == 5ms);
+    CHECK(this->backoff.next_delay_max() == 5ms);
 }
 
 } // namespace lagoonsaddle::edge
