edge: log how many upstreams a node finds unreachable when an attempt fails

Cause: the log did not show that a node had lost all upstreams at once (docs/incidents/partitioned-nodes.md, hypothesis 2).

--- a/src/lagoonsaddle/edge/forwarder_log.cpp
+++ b/src/lagoonsaddle/edge/forwarder_log.cpp
@@ -1,4 +1,5 @@
 // Log lines and metrics of forwarded requests.
+#include <algorithm>
 #include <chrono>
 #include <span>
 #include <string>
@@ -69,6 +70,9 @@
 
 void forwarder::log_attempt(const exchange_state& state, const std::string& upstream, std::string_view result,
     core::verdict verdict, std::string_view message) {
+    const auto now = this->context.clock.now();
+    const auto unreachable = std::ranges::count_if(
+        this->context.upstreams.all(), [now](const auto& entry) { return entry.second.health.unreachable(now); });
     this->context.log.write(log_line{"attempt"}
                                 .add("id", state.metadata.id)
                                 .add("upstream", upstream)
@@ -79,6 +83,7 @@
                                 .add("events", static_cast<std::int64_t>(state.splitter.event_count()))
                                 .add("framing", framing_name(state.close_delimited))
                                 .add("parts", join(state.metadata.shared_parts))
+                                .add("unreachable", static_cast<std::int64_t>(unreachable))
                                 .add("message", message));
 }
 
