--- /dev/null
+++ b/test/platform_node/engine_link.py
@@ -0,0 +1,141 @@
+"""Links between one node and the engines, which can be cut, and the view of the store that leads the node to them."""
+
+import asyncio
+import json
+import socket
+import struct
+import threading
+
+import standin
+
+PIECE_SIZE = 65_536
+# Connections that fill the queue of a listener, so that the system drops further ones.
+BACKLOG_CONNECTIONS = 4
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class LinkLoop:
+    """The event loop that carries all links, on a thread of its own."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+
+    def run(self, coroutine):
+        """Runs a coroutine on the loop and returns its result."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result()
+
+    def stop(self):
+        self.loop.call_soon_threadsafe(self.loop.stop)
+
+
+class EngineLink:
+    """A TCP proxy in front of an engine that one node uses.
+
+    Ways to cut it: `hang` (nothing arrives, in both directions, and new connections get no answer), `reset` (open
+    connections are reset and new ones refused), `refuse` (open connections live on, new ones are refused).
+    """
+
+    def __init__(self, links, target):
+        self.links, self.target = links, target
+        self.port, self.writers, self.blockers = 0, set(), []
+        self.flowing = asyncio.Event()
+        self.flowing.set()
+        self.links.run(self.listen())
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.port}"
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        """Passes the bytes of one connection on."""
+        try:
+            upstream_reader, upstream_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, upstream_writer}
+        await asyncio.gather(self.pass_on(reader, upstream_writer), self.pass_on(upstream_reader, writer))
+        self.writers -= {writer, upstream_writer}
+
+    async def pass_on(self, reader, writer):
+        """Passes bytes on in one direction, as far as the link is not silent."""
+        try:
+            while piece := await reader.read(PIECE_SIZE):
+                await self.flowing.wait()
+                writer.write(piece)
+                await writer.drain()
+            await self.flowing.wait()
+            writer.close()
+        except OSError:
+            writer.transport.abort()
+
+    def cut(self, how):
+        self.links.run(self.cut_connections(how))
+
+    async def cut_connections(self, how):
+        self.server.close()
+        await asyncio.sleep(0)
+        if how == "reset":
+            for writer in self.writers:
+                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                writer.transport.abort()
+        if how == "hang":
+            self.flowing.clear()
+            self.block_port()
+
+    def block_port(self):
+        """Lets new connections hang."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self.port))
+        listener.listen(0)
+        self.blockers = [listener]
+        for _ in range(BACKLOG_CONNECTIONS):
+            client = socket.socket()
+            client.setblocking(False)
+            client.connect_ex(("127.0.0.1", self.port))
+            self.blockers.append(client)
+
+    def heal(self):
+        self.links.run(self.heal_connections())
+
+    async def heal_connections(self):
+        for blocker in self.blockers:
+            blocker.close()
+        self.blockers = []
+        await self.listen()
+        self.flowing.set()
+
+
+class StoreView(standin.Server):
+    """The store as one node sees it: the entries of engines state the addresses of this node's links."""
+
+    def __init__(self, store, links, engines):
+        self.store = store
+        self.links = [EngineLink(links, engine.server_address) for engine in engines]
+        self.addresses = {engine.address: link.address for engine, link in zip(engines, self.links)}
+        super().__init__()
+
+    def respond(self, handler, body):
+        self.store.respond(handler, body)
+
+    def present(self, body):
+        """Returns a body with the addresses of the links."""
+        text = json.dumps(body)
+        for address, link_address in self.addresses.items():
+            text = text.replace(f'"{address}"', f'"{link_address}"')
+        return json.loads(text)
+
+    def cut(self, how):
+        """Cuts all links of the node."""
+        for link in self.links:
+            link.cut(how)
+
+    def heal(self):
+        for link in self.links:
+            link.heal()
--- a/test/platform_node/entry_node_case.py
+++ b/test/platform_node/entry_node_case.py
@@ -116,10 +116,14 @@
             server.server_close()
         self.assertEqual([], [violation for engine in self.engines for violation in engine.violations])
 
+    def store_of_next_node(self):
+        """Returns the store that the next node uses."""
+        return self.store
+
     def add_node(self):
         """Starts a node with the first node as its seed."""
         seeds = [self.nodes[0].ip] if self.nodes else None
-        self.nodes.append(Node(self.store, f"n{len(self.nodes)}", self.ports, seeds))
+        self.nodes.append(Node(self.store_of_next_node(), f"n{len(self.nodes)}", self.ports, seeds))
         self.eventually(self.nodes[-1].is_listening, "the node listens")
         return self.nodes[-1]
 
--- a/test/platform_node/standin.py
+++ b/test/platform_node/standin.py
@@ -97,8 +97,13 @@
             return value
 
     def reply(self, handler, status, body=None):
-        """Sends a response with the era of the data."""
-        handler.reply(status, body, {"Store-Era": str(self.era)})
+        """Sends a response with the era of the data, as the server of the connection presents it."""
+        handler.reply(status, handler.server.present(body), {"Store-Era": str(self.era)})
+
+    @staticmethod
+    def present(body):
+        """Returns the body of a response as the readers of this server see it."""
+        return body
 
     def respond(self, handler, body):
         """Serves a read, list, watch or conditional write."""
