relay, http: connections to upstreams through a peer

Weighed: a peer that forwards whole requests, and a peer that joins two connections. The first needs a message with body, streaming, cancellation and back-pressure, and makes decisions at two nodes; the second passes bytes on unread, so that ids, framing, the caller's leaving and the verdict stay those of the node that the caller has reached. Change: relay_server accepts one exchange a connection, asks its policy, connects to the upstream and copies bytes both ways with buffers of 16 KiB; relay_connector makes such a connection for the HTTP client (http::connector). An error before the upstream is connected is not_run. The peer's socket has a linger time of 0, so that a reset of the upstream, or the end of the relay's process, is a reset, and only the end of the upstream's connection is an end. Conclusion: not used by a node yet.

--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -10,6 +10,7 @@
 
 #include <lagoonsaddle/core/tcp_options.hpp>
 #include <lagoonsaddle/http/client.hpp>
+#include <lagoonsaddle/http/connector.hpp>
 #include <lagoonsaddle/http/internal_beast.hpp>
 
 namespace lagoonsaddle::http {
@@ -193,35 +194,27 @@
         };
     }
 
-    asio::awaitable<core::result<void>> connect(std::chrono::milliseconds reuse_within) {
-        if(reuse_within.count() > 0) {
+    asio::awaitable<core::result<void>> connect(
+        std::chrono::milliseconds reuse_within, const exchange_options& options) {
+        if(reuse_within.count() > 0 && !options.via) {
             if(auto idle = this->connections->take(this->target, reuse_within); idle.has_value()) {
                 *this->socket = std::move(*idle);
                 this->from_pool = true;
                 co_return core::result<void>{};
             }
         }
-        boost::system::error_code failure{};
-        const auto address = asio::ip::make_address(this->target.address, failure);
-        if(failure) {
-            co_return core::fail(core::reason::invalid_argument, "'" + this->target.address + "' is no IP address");
-        }
-        expiry connect_guard{co_await asio::this_coro::executor, *this->socket};
-        connect_guard.start(this->connections->options().connect_timeout);
-        co_await this->socket->async_connect(
-            tcp::endpoint{address, this->target.port}, asio::redirect_error(asio::use_awaitable, failure));
-        connect_guard.stop();
-        if(failure || connect_guard.expired() || this->guard.expired()) {
+        if(options.reuse_only) {
             co_return core::fail(
-                core::reason::connection_refused, "cannot connect to " + core::to_string(this->target) + ": " +
-                                                      (failure ? failure.message() : std::string{"timed out"}));
-        }
-        this->connections->count_connection();
-        this->socket->set_option(tcp::no_delay{true}, failure);
-        if(const auto timeout = this->connections->options().unacknowledged_timeout; timeout.count() > 0) {
-            core::set_unacknowledged_timeout(*this->socket, timeout);
+                core::reason::connection_refused, "no idle connection to " + core::to_string(this->target));
         }
-        co_return core::result<void>{};
+        this->single_use = options.via != nullptr;
+        co_return co_await this->make_connection(options.via.get());
+    }
+
+    /*! @brief Keeps the connection idle for a later exchange. */
+    void release() {
+        this->guard.stop();
+        this->connections->give(this->target, std::move(*this->socket), std::nullopt);
     }
 
     asio::awaitable<core::result<void>> exchange_heads(const request& message, const exchange_options& options) {
@@ -290,6 +283,51 @@
         bool failed{false};
     };
 
+    /*! @brief Connects the socket, directly or by the given way. */
+    asio::awaitable<core::result<void>> make_connection(connector* via) {
+        expiry connect_guard{co_await asio::this_coro::executor, *this->socket};
+        connect_guard.start(via != nullptr ? via->timeout() : this->connections->options().connect_timeout);
+        core::result<void> connected{};
+        if(via != nullptr) {
+            connected = co_await via->connect(*this->socket, this->target);
+        } else {
+            connected = co_await this->connect_directly();
+        }
+        connect_guard.stop();
+        if(connected && (connect_guard.expired() || this->guard.expired())) {
+            co_return this->not_connected("timed out");
+        }
+        if(!connected) {
+            co_return connected;
+        }
+        this->connections->count_connection();
+        boost::system::error_code ignored{};
+        this->socket->set_option(tcp::no_delay{true}, ignored);
+        if(const auto timeout = this->connections->options().unacknowledged_timeout; timeout.count() > 0) {
+            core::set_unacknowledged_timeout(*this->socket, timeout);
+        }
+        co_return core::result<void>{};
+    }
+
+    asio::awaitable<core::result<void>> connect_directly() {
+        boost::system::error_code failure{};
+        const auto address = asio::ip::make_address(this->target.address, failure);
+        if(failure) {
+            co_return core::fail(core::reason::invalid_argument, "'" + this->target.address + "' is no IP address");
+        }
+        const tcp::endpoint remote{address, this->target.port};
+        co_await this->socket->async_connect(remote, asio::redirect_error(asio::use_awaitable, failure));
+        if(failure) {
+            co_return this->not_connected(failure.message());
+        }
+        co_return core::result<void>{};
+    }
+
+    [[nodiscard]] tl::unexpected<core::error> not_connected(const std::string& message) const {
+        return core::fail(
+            core::reason::connection_refused, "cannot connect to " + core::to_string(this->target) + ": " + message);
+    }
+
     void detach() noexcept {
         if(this->control) {
             (*this->control).*(this->control_hook) = nullptr;
@@ -365,9 +403,9 @@
     }
 
     [[nodiscard]] bool reusable() const {
-        return !this->failed && !this->guard.expired() && this->socket->is_open() && this->parser.has_value() &&
-               this->parser->is_done() && this->parser->keep_alive() && this->buffer.size() == 0u &&
-               (!this->writing || (this->writing->done && !this->writing->failed));
+        return !this->failed && !this->single_use && !this->guard.expired() && this->socket->is_open() &&
+               this->parser.has_value() && this->parser->is_done() && this->parser->keep_alive() &&
+               this->buffer.size() == 0u && (!this->writing || (this->writing->done && !this->writing->failed));
     }
 
     std::shared_ptr<pool> connections;
@@ -381,6 +419,7 @@
     std::shared_ptr<exchange_control> control{};
     std::function<void()> exchange_control::*control_hook{};
     bool from_pool{false};
+    bool single_use{false};
     bool failed{false};
 };
 
@@ -419,7 +458,7 @@
             opened->attach(options.control, &exchange_control::close);
         }
         opened->start_timer(options.timeout);
-        if(const auto connected = co_await opened->connect(reuse_within); !connected) {
+        if(const auto connected = co_await opened->connect(reuse_within, options); !connected) {
             co_return tl::make_unexpected(connected.error());
         }
         const auto exchanged = co_await opened->exchange_heads(message, options);
@@ -432,6 +471,17 @@
     }
 }
 
+asio::awaitable<core::result<void>> client::preconnect(core::endpoint target) {
+    const auto executor = co_await asio::this_coro::executor;
+    stream opened{this->connections, std::move(target), executor};
+    const exchange_options options{};
+    auto connected = co_await opened.connect(std::chrono::milliseconds{0}, options);
+    if(connected) {
+        opened.release();
+    }
+    co_return connected;
+}
+
 asio::awaitable<core::result<response>> client::send(
     core::endpoint target, request message, std::chrono::milliseconds timeout) {
     auto opened = co_await this->open(std::move(target), std::move(message), timeout);
--- a/src/lagoonsaddle/http/client.hpp
+++ b/src/lagoonsaddle/http/client.hpp
@@ -16,6 +16,8 @@
 
 namespace lagoonsaddle::http {
 
+class connector;
+
 /*! @brief Options of a client. */
 struct client_options {
     std::chrono::milliseconds connect_timeout{1'000};
@@ -61,6 +63,10 @@
     std::function<bool(unsigned status, const fields& headers)> accepts{};
     /*! @brief Receives the means to cancel the exchange; may be null. */
     std::shared_ptr<exchange_control> control{};
+    /*! @brief Fails with `connection_refused` instead of making a connection when no idle one can be reused. */
+    bool reuse_only{false};
+    /*! @brief Makes the connection, which is then used for this exchange alone; null to connect to the target. */
+    std::shared_ptr<connector> via{};
 };
 
 /*! @brief Response whose body is read piece by piece. Not thread-safe. Destroying it closes the connection. */
@@ -130,6 +136,13 @@
     [[nodiscard]] boost::asio::awaitable<core::result<std::unique_ptr<response_stream>>> open(
         core::endpoint target, request message, exchange_options options);
 
+    /**
+     * @brief Makes a connection and keeps it idle for a later exchange.
+     * @param target Where to connect.
+     * @return Nothing, or `connection_refused`.
+     */
+    [[nodiscard]] boost::asio::awaitable<core::result<void>> preconnect(core::endpoint target);
+
     /*! @brief Returns the number of connections made since construction. */
     [[nodiscard]] std::uint64_t connections_made() const noexcept;
 
--- /dev/null
+++ b/src/lagoonsaddle/relay/relay_server.cpp
@@ -0,0 +1,290 @@
+#include <algorithm>
+#include <array>
+#include <span>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <lagoonsaddle/core/tcp_options.hpp>
+#include <lagoonsaddle/relay/relay_server.hpp>
+
+namespace lagoonsaddle::relay {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t buffer_size{16u * 1024u};
+constexpr std::chrono::milliseconds accept_retry_delay{50};
+/*! @brief Time for a peer to close a connection whose end it has been sent. */
+constexpr std::chrono::milliseconds close_timeout{1'000};
+
+/*! @brief Data read from a socket; empty at its end. */
+using read_result = tl::expected<std::size_t, boost::system::error_code>;
+
+[[nodiscard]] asio::awaitable<read_result> read_some(tcp::socket& socket, std::span<char> buffer) {
+    boost::system::error_code failure{};
+    const auto count = co_await socket.async_read_some(
+        asio::buffer(buffer.data(), buffer.size()), asio::redirect_error(asio::use_awaitable, failure));
+    if(failure == asio::error::eof) {
+        co_return std::size_t{0u};
+    }
+    if(failure) {
+        co_return tl::make_unexpected(failure);
+    }
+    co_return count;
+}
+
+[[nodiscard]] asio::awaitable<bool> write_all(tcp::socket& socket, std::span<const char> data) {
+    boost::system::error_code failure{};
+    co_await asio::async_write(
+        socket, asio::buffer(data.data(), data.size()), asio::redirect_error(asio::use_awaitable, failure));
+    co_return !failure;
+}
+
+} // namespace
+
+class relay_server::state : public std::enable_shared_from_this<relay_server::state> {
+public:
+    state(asio::io_context& io, relay_policy& decisions, relay_server_options options)
+        : context{io}, policy{decisions}, settings{std::move(options)}, acceptor{io} {}
+
+    [[nodiscard]] core::result<void> start();
+
+    void close() {
+        boost::system::error_code ignored{};
+        this->acceptor.close(ignored);
+    }
+
+    asio::io_context& context;
+    relay_policy& policy;
+    relay_server_options settings;
+    tcp::acceptor acceptor;
+    std::uint16_t bound_port{};
+    std::size_t active{};
+
+private:
+    [[nodiscard]] asio::awaitable<void> accept_connections();
+};
+
+/*! @brief One relayed connection. */
+class relay_server::session : public std::enable_shared_from_this<relay_server::session> {
+public:
+    session(std::shared_ptr<state> server, tcp::socket accepted)
+        : owner{std::move(server)},
+          peer{std::move(accepted)},
+          upstream{this->owner->context},
+          timer{this->owner->context} {
+        ++this->owner->active;
+        boost::system::error_code ignored{};
+        this->peer.set_option(tcp::no_delay{true}, ignored);
+        // Closing resets the connection, also when the process is killed; the proper end is a shutdown before it.
+        this->peer.set_option(asio::socket_base::linger{true, 0}, ignored);
+        core::set_unacknowledged_timeout(this->peer, this->owner->settings.unacknowledged_timeout);
+    }
+
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+
+    ~session() {
+        --this->owner->active;
+    }
+
+    [[nodiscard]] asio::awaitable<void> run() {
+        this->close_after(this->owner->settings.request_timeout);
+        const auto message = co_await internal::read_message(this->peer);
+        const auto request = message ? wire::unpack<open_request>(*message) : core::result<open_request>{};
+        if(!message || !request) {
+            this->close();
+            co_return;
+        }
+        auto connected = co_await this->connect_upstream(*request);
+        open_reply reply{};
+        if(!connected) {
+            reply.failure = wire::to_wire(connected.error());
+        }
+        const bool replied = co_await internal::write_message(this->peer, wire::pack(reply));
+        if(!connected || !replied) {
+            co_await this->finish_refusal();
+            co_return;
+        }
+        this->close_after(
+            std::min(std::chrono::milliseconds{request->lifetime_ms}, this->owner->settings.lifetime_max));
+        asio::co_spawn(
+            this->owner->context, [self = this->shared_from_this()] { return self->pass_requests(); }, asio::detached);
+        co_await this->pass_answers();
+    }
+
+private:
+    /*! @brief Connects to the upstream, if the policy allows it. */
+    [[nodiscard]] asio::awaitable<core::result<void>> connect_upstream(const open_request& request) {
+        if(this->owner->active > this->owner->settings.connections_max) {
+            co_return core::fail(core::reason::overloaded, "the relay has too many connections");
+        }
+        boost::system::error_code failure{};
+        const auto remote = this->peer.remote_endpoint(failure).address().to_string();
+        const auto target = this->owner->policy.admit(request, remote);
+        if(!target) {
+            co_return tl::make_unexpected(target.error());
+        }
+        const auto address = asio::ip::make_address(target->address, failure);
+        if(!failure) {
+            this->close_after(this->owner->settings.connect_timeout, &session::close_upstream);
+            const tcp::endpoint endpoint{address, target->port};
+            co_await this->upstream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, failure));
+        }
+        const bool connected = !failure && this->upstream.is_open();
+        this->timer.cancel();
+        this->owner->policy.on_connect(request, connected);
+        if(!connected) {
+            co_return core::fail(core::reason::unavailable, "the relay cannot connect to the upstream");
+        }
+        this->upstream.set_option(tcp::no_delay{true}, failure);
+        core::set_unacknowledged_timeout(this->upstream, this->owner->settings.unacknowledged_timeout);
+        co_return core::result<void>{};
+    }
+
+    /*! @brief Passes on what the peer sends, until the peer closes its connection. */
+    [[nodiscard]] asio::awaitable<void> pass_requests() {
+        std::array<char, buffer_size> buffer{};
+        bool writable{true};
+        while(true) {
+            const auto count = co_await read_some(this->peer, buffer);
+            if(!count || *count == 0u) {
+                this->close();
+                co_return;
+            }
+            // An upstream may answer before it has read the whole body; only its own end decides on the connection.
+            writable = writable && co_await write_all(this->upstream, std::span{buffer}.first(*count));
+        }
+    }
+
+    /*! @brief Passes on what the upstream sends, until it ends or resets its connection. */
+    [[nodiscard]] asio::awaitable<void> pass_answers() {
+        std::array<char, buffer_size> buffer{};
+        while(true) {
+            const auto count = co_await read_some(this->upstream, buffer);
+            if(!count || !this->peer.is_open()) {
+                this->close();
+                co_return;
+            }
+            if(*count == 0u) {
+                this->finish_peer();
+                co_return;
+            }
+            if(!co_await write_all(this->peer, std::span{buffer}.first(*count))) {
+                this->close();
+                co_return;
+            }
+        }
+    }
+
+    /*! @brief Ends the peer's connection properly, after what was sent. It is closed when the peer has closed it. */
+    void finish_peer() {
+        boost::system::error_code ignored{};
+        this->peer.shutdown(tcp::socket::shutdown_send, ignored);
+        this->close_after(close_timeout);
+    }
+
+    /*! @brief Waits until the peer has read a refusal: closing the connection before could discard it. */
+    [[nodiscard]] asio::awaitable<void> finish_refusal() {
+        this->finish_peer();
+        std::array<char, 1u> buffer{};
+        static_cast<void>(co_await read_some(this->peer, buffer));
+        this->close();
+    }
+
+    void close_after(std::chrono::milliseconds time, void (session::*action)() = &session::close) {
+        this->timer.expires_after(time);
+        this->timer.async_wait([weak = this->weak_from_this(), action](const boost::system::error_code& failure) {
+            if(const auto self = weak.lock(); self && !failure) {
+                ((*self).*action)();
+            }
+        });
+    }
+
+    void close_upstream() {
+        boost::system::error_code ignored{};
+        this->upstream.close(ignored);
+    }
+
+    void close() {
+        this->timer.cancel();
+        this->close_upstream();
+        boost::system::error_code ignored{};
+        this->peer.close(ignored);
+    }
+
+    std::shared_ptr<state> owner;
+    tcp::socket peer;
+    tcp::socket upstream;
+    asio::steady_timer timer;
+};
+
+core::result<void> relay_server::state::start() {
+    boost::system::error_code failure{};
+    const auto address = asio::ip::make_address(this->settings.listen.address, failure);
+    const tcp::endpoint local{address, this->settings.listen.port};
+    if(!failure) {
+        this->acceptor.open(local.protocol(), failure);
+    }
+    if(!failure) {
+        this->acceptor.set_option(tcp::acceptor::reuse_address{true}, failure);
+    }
+    if(!failure) {
+        this->acceptor.bind(local, failure);
+    }
+    if(!failure) {
+        this->acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    }
+    if(failure) {
+        return core::fail(core::reason::unavailable, "cannot listen for relayed connections on " +
+                                                         core::to_string(this->settings.listen) + ": " +
+                                                         failure.message());
+    }
+    this->bound_port = this->acceptor.local_endpoint(failure).port();
+    asio::co_spawn(
+        this->context, [self = this->shared_from_this()] { return self->accept_connections(); }, asio::detached);
+    return {};
+}
+
+asio::awaitable<void> relay_server::state::accept_connections() {
+    while(this->acceptor.is_open()) {
+        boost::system::error_code failure{};
+        tcp::socket accepted{this->context};
+        co_await this->acceptor.async_accept(accepted, asio::redirect_error(asio::use_awaitable, failure));
+        if(failure) {
+            asio::steady_timer timer{this->context, accept_retry_delay};
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+            continue;
+        }
+        const auto accepted_session = std::make_shared<session>(this->shared_from_this(), std::move(accepted));
+        asio::co_spawn(
+            this->context, [accepted_session]() -> asio::awaitable<void> { co_await accepted_session->run(); },
+            asio::detached);
+    }
+}
+
+relay_server::relay_server(asio::io_context& context, relay_policy& policy, relay_server_options options)
+    : shared{std::make_shared<state>(context, policy, std::move(options))} {}
+
+relay_server::~relay_server() {
+    this->shared->close();
+}
+
+core::result<void> relay_server::start() {
+    return this->shared->start();
+}
+
+std::uint16_t relay_server::port() const noexcept {
+    return this->shared->bound_port;
+}
+
+std::size_t relay_server::active_connections() const noexcept {
+    return this->shared->active;
+}
+
+} // namespace lagoonsaddle::relay
