edge: a node that is partitioned from its upstreams reaches them through peers

Callers saw: 503 or no answer at machines that had lost their links to all engines, while the others served. Cause: one way from a node to an upstream, its own; each request tried four to six upstreams, 350 ms each. Class: a node that cannot tell its own failure from that of all its upstreams. Change: path_monitor: after a failed or lost connection, or 0.5 s without a byte from any upstream while exchanges wait, the node connects to the three other upstreams that it heard last. When none answers within 350 ms it is partitioned, and tries others every 0.3 s until one does. One upstream that pauses is no sign. While it is partitioned, it reuses only connections that were in use since, makes no new ones, and sends each exchange through the live peer that relays the fewest of its own, two peers at most; silent exchanges that can be repeated are. The peer relays only for live members from their own address, only to upstreams that it knows and that do not leave, not while it stops or is partitioned itself, 256 connections at most; there is no second hop. Placement, verdict, retry budget, limits and versions stay with the node that the caller reached. A connection that ends while the node is partitioned, or at a peer, is no crash and no sign of a restart of the upstream. Nodes gossip that they are partitioned.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -80,6 +80,17 @@
                   .membership = *this->membership,
                   .peers = this->peers},
           this->settings.name},
+      paths{std::make_shared<upstream_paths>(upstream_paths_context{.io = this->context.io,
+                                                 .clock = this->context.clock,
+                                                 .log = this->log,
+                                                 .upstreams = this->upstreams,
+                                                 .membership = *this->membership,
+                                                 .client = this->context.client,
+                                                 .partitions = this->partitions},
+          upstream_paths_options{.node_name = this->settings.name,
+              .availability_zone = this->settings.availability_zone,
+              .local_address = this->settings.caller_address.address,
+              .relay_port = this->settings.relay_port})},
       placement{std::make_shared<placement_service>(placement_context{.io = this->context.io,
                                                         .clock = this->context.clock,
                                                         .log = this->log,
@@ -126,6 +137,7 @@
           .verifier = this->verifier,
           .prompt_parts = this->prompt_parts,
           .origins = this->origins,
+          .paths = *this->paths,
           .membership = *this->membership,
           .metrics = this->metrics}},
       readiness{*this},
@@ -140,6 +152,9 @@
       peer_server{this->context.io, *this,
           {.address = this->settings.caller_address.address, .port = this->settings.peer_port},
           wire::hello{.node = this->settings.name, .availability_zone = this->settings.availability_zone}},
+      relay_server{this->context.io, *this->paths,
+          relay::relay_server_options{
+              .listen = {.address = this->settings.caller_address.address, .port = this->settings.relay_port}}},
       shared_backoff{this->context.io},
       started{this->context.clock.now()} {}
 
@@ -155,6 +170,10 @@
         // Not fatal: callers can be served without metrics.
         this->log.write(log_line{"metrics_unavailable"}.add("message", listening.error().message));
     }
+    if(const auto listening = this->relay_server.start(); !listening) {
+        // Not fatal: only peers that are partitioned from the upstreams need the relay.
+        this->log.write(log_line{"relay_unavailable"}.add("message", listening.error().message));
+    }
     if(auto listening = this->peer_server.start(); !listening) {
         return listening;
     }
@@ -166,6 +185,7 @@
         this->quarantine.merge(value);
         this->prompt_parts.apply(value);
         this->limits.apply(value);
+        this->partitions.apply(value);
         if(value.kind == configuration_item_kind) {
             this->configuration_updates->announce(value.version);
         }
@@ -179,6 +199,7 @@
         if(!other.is_live() || change.restarted) {
             this->peers.disconnect(other.info.name);
             this->dispatch->remove_node(other.info.name);
+            this->paths->cancel_exchanges(other.info.name);
         }
     });
     std::vector<core::endpoint> seeds{};
@@ -196,6 +217,7 @@
     this->start_watcher(record_kind::upstreams, short_watch_timeout, upstream_watch_delay);
     this->start_watcher(record_kind::versions, long_watch_timeout, milliseconds{100});
     this->start_watcher(record_kind::leases, long_watch_timeout, milliseconds{0});
+    this->paths->start();
     this->placement->start();
     this->dispatch->start();
     asio::co_spawn(
@@ -285,6 +307,7 @@
     this->stopping = true;
     this->log.write(log_line{"stop"}.add("active", static_cast<std::int64_t>(this->caller_server.active_requests())));
     this->membership->announce_leaving();
+    this->paths->begin_stop();
     this->caller_server.begin_drain();
     asio::co_spawn(
         this->context.io, [placement = this->placement] { return placement->release_leases(); }, asio::detached);
@@ -292,7 +315,7 @@
     this->request_forwarder.begin_stop(begin + long_request_refusal_delay, begin + limit);
     while(true) {
         const auto elapsed = this->context.clock.now() - begin;
-        const bool idle = this->caller_server.active_requests() == 0u;
+        const bool idle = this->caller_server.active_requests() == 0u && this->relay_server.active_connections() == 0u;
         if((elapsed >= traffic_drain_time && idle) || elapsed >= limit) {
             break;
         }
@@ -331,6 +354,10 @@
         static_cast<double>(this->origins.record_count()));
     gauge("lagoonsaddle_edge_reservations", "Requests that this node has placed for all nodes.",
         static_cast<double>(this->dispatch->reservation_count()));
+    gauge("lagoonsaddle_edge_partitioned", "1 while this node is partitioned from its upstreams.",
+        this->paths->partitioned() ? 1.0 : 0.0);
+    gauge("lagoonsaddle_edge_relayed_connections", "Connections to upstreams that this node relays for peers.",
+        static_cast<double>(this->relay_server.active_connections()));
     gauge("lagoonsaddle_edge_leases_held", "Availability zones whose loads this node orders.",
         static_cast<double>(this->placement->leases_held()));
     for(const auto& watcher : this->watchers) {
--- a/src/lagoonsaddle/edge/entry_settings.cpp
+++ b/src/lagoonsaddle/edge/entry_settings.cpp
@@ -76,11 +76,15 @@
     values.caller_address = get_address(object, "listen_callers");
     values.readiness_address = get_address(object, "listen_readiness");
     constexpr double port_max{std::numeric_limits<std::uint16_t>::max()};
-    values.peer_port = static_cast<std::uint16_t>(get_number(object, "peer_port", 1.0, port_max - 1.0));
+    values.peer_port = static_cast<std::uint16_t>(get_number(object, "peer_port", 1.0, port_max - 2.0));
     values.metrics_port = static_cast<std::uint16_t>(values.peer_port + 1u);
     if(object.contains("metrics_port")) {
         values.metrics_port = static_cast<std::uint16_t>(get_number(object, "metrics_port", 1.0, port_max));
     }
+    values.relay_port = static_cast<std::uint16_t>(values.peer_port + 2u);
+    if(object.contains("relay_port")) {
+        values.relay_port = static_cast<std::uint16_t>(get_number(object, "relay_port", 1.0, port_max));
+    }
     const auto& seeds = get_required(object, "seeds");
     if(!seeds.is_array()) {
         throw settings_error{"seeds", "must be an array of addresses with ports"};
--- a/src/lagoonsaddle/edge/entry_settings.hpp
+++ b/src/lagoonsaddle/edge/entry_settings.hpp
@@ -23,6 +23,9 @@
     core::endpoint readiness_address{};
     /*! @brief UDP and TCP port for traffic between nodes. */
     std::uint16_t peer_port{};
+    /*! @brief TCP port on which nodes relay connections to upstreams for their peers, the same on all nodes;
+     * `peer_port` + 2 unless it is set. */
+    std::uint16_t relay_port{};
     /*! @brief Port of the metrics listener; `peer_port` + 1 unless it is set. */
     std::uint16_t metrics_port{};
     /*! @brief IP addresses of nodes through which to join the fleet. */
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -28,27 +28,18 @@
 constexpr unsigned placements_max{6u};
 /*! @brief Number of first placements that fail at once, instead of waiting, when all adapter slots are in use. */
 constexpr unsigned placements_without_wait{2u};
-/*! @brief Time beyond the deadline in which the response that an upstream sends at the deadline may arrive. */
-constexpr milliseconds deadline_margin{60};
 /*! @brief Maximum wait for the load of an adapter; the rest of the time to the deadline is left for the run. */
 constexpr milliseconds load_wait_max{1'800};
 /*! @brief Time for which an older version of an adapter may still serve after a newer one was announced. */
 constexpr milliseconds old_version_grace{2'500};
 /*! @brief Timeout when neither the caller nor the route sets one. */
 constexpr milliseconds default_timeout{30'000};
-/*! @brief Maximum idle time of a connection that is reused for a request that must not run twice. */
-constexpr milliseconds reuse_within_once{8'000};
-/*! @brief Maximum idle time of a connection that is reused for a request that may be repeated. */
-constexpr milliseconds reuse_within_repeatable{10'000};
 /*! @brief Share of the remaining time after which a repeatable request without a response is sent elsewhere. */
 constexpr double attempt_timeout_share{0.45};
 /*! @brief Bounds of the Retry-After time when the upstreams of a service are at their limits: other nodes may have a
  * share that is free sooner. */
 constexpr milliseconds limit_retry_after_min{100};
 constexpr milliseconds limit_retry_after_max{1'000};
-/*! @brief Priority 0 of a route on the urgency scale of the upstreams, on which 5 is the default. */
-constexpr unsigned urgency_base{3u};
-constexpr unsigned urgency_max{9u};
 
 /*! @brief Releases the reservation of a request at the end of an attempt. */
 class reservation_guard {
@@ -280,24 +271,8 @@
     state.sent_at = now;
     state.sent_version = this->context.upstreams.certain_version(*known, now);
     const auto remaining = to_ms(state.deadline - now);
-    forwarding_metadata added{.deadline = remaining, .expected_upstream = upstream};
-    added.urgency = std::min(urgency_base + state.matched_route->priority, urgency_max);
-    added.resume_after = state.splitter.last_id() ? state.splitter.last_id() : state.metadata.last_event_id;
-    auto upstream_request = this->context.format.make_upstream_request(state.request, added);
-
     ++state.sends;
-    this->log_send(state, upstream, remaining);
     state.control = std::make_shared<http::exchange_control>();
-    http::exchange_options options{};
-    options.timeout = remaining + deadline_margin;
-    options.reuse_within = state.repeatable() ? reuse_within_repeatable : reuse_within_once;
-    options.resend_safe = false;
-    options.keep_host = true;
-    options.control = state.control;
-    options.accepts = [this, id = state.metadata.id](unsigned status, const http::fields& headers) {
-        const auto head = this->context.format.parse_response_head(status, headers);
-        return head.request_id == id || (head.request_id.empty() && head.not_run);
-    };
 
     // Cancels the attempt early enough that a request that may be repeated can still be sent to another upstream.
     asio::steady_timer attempt_timer{co_await asio::this_coro::executor};
@@ -314,8 +289,7 @@
 
     ++known->in_flight;
     known->pending_tokens += placed.cold_tokens;
-    const auto address = known->entry.address;
-    auto exchange = co_await this->context.client.open(address, std::move(upstream_request), std::move(options));
+    auto exchange = co_await this->open_exchange(state, upstream);
     attempt_timer.cancel();
     this->context.dispatch.record_start(placed);
     if(known = this->context.upstreams.find(upstream); known != nullptr) {
@@ -325,12 +299,15 @@
     if(exchange) {
         next = co_await this->receive_response(state, upstream, **exchange);
     } else {
+        co_await this->review_path(state, upstream, exchange.error());
         next = this->handle_failure(state, upstream, exchange.error());
     }
     if(known = this->context.upstreams.find(upstream); known != nullptr && known->in_flight > 0u) {
         --known->in_flight;
     }
     state.control.reset();
+    state.direct.reset();
+    state.relayed.reset();
     co_return next;
 }
 
@@ -359,17 +336,17 @@
         --state.sends;
         state.last_failure.verdict = state.verdict;
         state.excluded.insert(upstream);
-        if(known != nullptr) {
-            known->health.record_unreachable(now);
-        }
-        if(failure.cause == core::reason::connection_refused) {
+        if(failure.cause == core::reason::connection_refused && !state.path_lost) {
             this->context.upstreams.suspect_restart(upstream, now);
+            if(known != nullptr) {
+                known->health.record_unreachable(now);
+            }
         }
         return attempt_result::retry;
     }
     ++state.possible_runs;
     state.verdict = core::verdict::may_have_run;
-    if(known != nullptr) {
+    if(known != nullptr && !state.path_lost && !state.relayed) {
         known->health.record(true, now);
         // An upstream crashes on a request before it answers; what ends an answer later has another cause.
         if(state.last_failure.cause == core::reason::connection_lost && !state.head_sent) {
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -25,6 +25,7 @@
 #include <lagoonsaddle/edge/route_table.hpp>
 #include <lagoonsaddle/edge/stream_origin_service.hpp>
 #include <lagoonsaddle/edge/upstream_limits.hpp>
+#include <lagoonsaddle/edge/upstream_paths.hpp>
 #include <lagoonsaddle/edge/upstream_selector.hpp>
 #include <lagoonsaddle/edge/upstream_table.hpp>
 #include <lagoonsaddle/http/client.hpp>
@@ -64,6 +65,7 @@
     const crash_verifier& verifier;
     prompt_part_guard& prompt_parts;
     stream_origin_service& origins;
+    upstream_paths& paths;
     cluster::membership_service& membership;
     operate::metrics_registry& metrics;
 };
@@ -105,6 +107,19 @@
         exchange_state& state, const selection& choice, const std::set<std::string>& excluded);
     [[nodiscard]] boost::asio::awaitable<attempt_result> send_request(
         exchange_state& state, const placed_request& placed);
+    /*! @brief Sends a request to an upstream on this node's own path, or through a peer when that is cut. */
+    [[nodiscard]] boost::asio::awaitable<core::result<std::unique_ptr<http::response_stream>>> open_exchange(
+        exchange_state& state, std::string upstream);
+    [[nodiscard]] boost::asio::awaitable<core::result<std::unique_ptr<http::response_stream>>> open_directly(
+        exchange_state& state, const upstream_entry& upstream);
+    [[nodiscard]] boost::asio::awaitable<core::result<std::unique_ptr<http::response_stream>>> open_through_peer(
+        exchange_state& state, const upstream_entry& upstream);
+    /*! @brief Returns the request as it is sent to an upstream now. */
+    [[nodiscard]] http::request make_upstream_request(const exchange_state& state, const std::string& upstream) const;
+    [[nodiscard]] http::exchange_options make_exchange_options(const exchange_state& state) const;
+    /*! @brief Finds out whether an attempt failed because this node is partitioned from its upstreams. */
+    [[nodiscard]] boost::asio::awaitable<void> review_path(
+        exchange_state& state, const std::string& upstream, const core::error& failure);
     /*! @brief Returns whether a request goes on with a stream of which its caller has events. */
     [[nodiscard]] static bool is_resumed(const exchange_state& state);
     /*! @brief Binds a request that goes on with a stream to where it began; returns why it is refused otherwise. */
@@ -120,7 +135,9 @@
         exchange_state& state, const std::string& upstream, http::response_stream& upstream_response);
     /*! @brief Reads a whole body, as far as this response and all others together stay within their limits. */
     [[nodiscard]] boost::asio::awaitable<core::result<std::string>> read_body(
-        http::response_stream& upstream_response, buffer_reservation& reserved);
+        exchange_state& state, http::response_stream& upstream_response, buffer_reservation& reserved);
+    /*! @brief Records that bytes of the upstream have arrived. */
+    static void record_received(exchange_state& state);
     /**
      * @brief Reads the next complete events of a stream.
      * @return The events, an empty text at the proper end of the stream, or an error when it has been broken off.
@@ -158,7 +175,7 @@
     void observe_upstream(const exchange_state& state, const std::string& upstream, const response_metadata& head);
     void log_placement(const exchange_state& state, const selection& choice,
         const tl::expected<placed_request, placement_failure>& placed, core::duration duration);
-    void log_send(const exchange_state& state, const std::string& upstream, core::duration remaining);
+    void log_send(const exchange_state& state, const std::string& upstream);
     void log_attempt(const exchange_state& state, const std::string& upstream, std::string_view result,
         core::verdict verdict, std::string_view message);
     /*! @brief Writes the final log line of a request and updates its metrics. */
--- a/src/lagoonsaddle/edge/forwarder_log.cpp
+++ b/src/lagoonsaddle/edge/forwarder_log.cpp
@@ -48,14 +48,15 @@
     this->context.log.write(line);
 }
 
-void forwarder::log_send(const exchange_state& state, const std::string& upstream, core::duration remaining) {
+void forwarder::log_send(const exchange_state& state, const std::string& upstream) {
     const auto* known = this->context.upstreams.find(upstream);
     log_line line{"sent"};
     line.add("id", state.metadata.id)
         .add("upstream", upstream)
         .add("attempt", static_cast<std::int64_t>(state.sends))
         .add("config", static_cast<std::int64_t>(state.config ? state.config->version : 0u))
-        .add("left_ms", to_ms(remaining).count());
+        .add("via", state.relayed ? state.relayed->peer() : std::string{})
+        .add("left_ms", to_ms(state.deadline - this->context.clock.now()).count());
     if(known != nullptr) {
         const auto share = known->health.failure_ratio(this->context.clock.now());
         line.add("in_flight", static_cast<std::int64_t>(known->in_flight))
--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -62,8 +62,15 @@
     }
 }
 
+void forwarder::record_received(exchange_state& state) {
+    if(state.direct) {
+        state.direct->record_received();
+    }
+}
+
 asio::awaitable<forwarder::attempt_result> forwarder::receive_response(
     exchange_state& state, const std::string& upstream, http::response_stream& upstream_response) {
+    record_received(state);
     const auto head = this->context.format.parse_response_head(upstream_response.status(), upstream_response.headers());
     this->observe_upstream(state, upstream, head);
     state.close_delimited = upstream_response.close_delimited();
@@ -94,8 +101,9 @@
         co_return co_await this->relay_stream(state, upstream, upstream_response);
     }
     buffer_reservation reserved{this->buffered_bytes};
-    auto body = co_await this->read_body(upstream_response, reserved);
+    auto body = co_await this->read_body(state, upstream_response, reserved);
     if(!body) {
+        co_await this->review_path(state, upstream, body.error());
         co_return this->handle_failure(state, upstream, body.error());
     }
     const auto now = this->context.clock.now();
@@ -142,13 +150,14 @@
 }
 
 asio::awaitable<core::result<std::string>> forwarder::read_body(
-    http::response_stream& upstream_response, buffer_reservation& reserved) {
+    exchange_state& state, http::response_stream& upstream_response, buffer_reservation& reserved) {
     std::string body{};
     while(true) {
         auto chunk = co_await upstream_response.read();
         if(!chunk) {
             co_return tl::make_unexpected(std::move(chunk.error()));
         }
+        record_received(state);
         if(chunk->empty()) {
             co_return body;
         }
@@ -168,6 +177,7 @@
         if(!chunk) {
             co_return tl::make_unexpected(std::move(chunk.error()));
         }
+        record_received(state);
         if(!chunk->empty()) {
             auto events = state.splitter.feed(*chunk);
             if(!events.empty()) {
@@ -236,6 +246,7 @@
     while(!ended) {
         auto events = co_await this->read_events(state, upstream_response);
         if(!events) {
+            co_await this->review_path(state, upstream, events.error());
             co_return this->handle_broken_stream(state, upstream, events.error());
         }
         ended = events->empty();
--- a/src/lagoonsaddle/edge/internal_entry_node.hpp
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -18,7 +18,9 @@
 #include <lagoonsaddle/edge/record_watcher.hpp>
 #include <lagoonsaddle/edge/status_handlers.hpp>
 #include <lagoonsaddle/edge/stream_origin_service.hpp>
+#include <lagoonsaddle/edge/upstream_paths.hpp>
 #include <lagoonsaddle/http/server.hpp>
+#include <lagoonsaddle/relay/relay_server.hpp>
 #include <lagoonsaddle/wire/peer_server.hpp>
 
 namespace lagoonsaddle::edge {
@@ -97,6 +99,8 @@
         .suspect_duration = internal::suspect_duration}};
     prompt_part_guard prompt_parts;
     stream_origin_service origins;
+    partitioned_nodes partitions{};
+    std::shared_ptr<upstream_paths> paths;
     std::shared_ptr<placement_service> placement;
     std::shared_ptr<dispatch_service> dispatch;
     std::shared_ptr<configuration_sync> configuration_updates;
@@ -107,6 +111,7 @@
     http::server readiness_server;
     http::server metrics_server;
     wire::peer_server peer_server;
+    relay::relay_server relay_server;
     store_backoff shared_backoff;
     std::vector<std::unique_ptr<record_watcher>> watchers{};
     /*! @brief What was read from the store since the last broadcast to the peers. */
--- a/src/lagoonsaddle/edge/internal_exchange.hpp
+++ b/src/lagoonsaddle/edge/internal_exchange.hpp
@@ -58,6 +58,12 @@
     /*! @brief Cancels the exchange with the upstream; null while there is none. */
     std::shared_ptr<http::exchange_control> control{};
     bool caller_disconnected{false};
+    /*! @brief The exchange over this node's own path; null while there is none. */
+    std::unique_ptr<direct_exchange> direct{};
+    /*! @brief The peer that relays the exchange; null on this node's own path. */
+    std::unique_ptr<relayed_exchange> relayed{};
+    /*! @brief Whether the last attempt failed because this node is partitioned from its upstreams. */
+    bool path_lost{false};
 
     std::set<std::string> excluded{};
     /*! @brief Attempts to choose an upstream. */
--- a/src/lagoonsaddle/relay/relay_server.cpp
+++ b/src/lagoonsaddle/relay/relay_server.cpp
@@ -140,7 +140,7 @@
         this->timer.cancel();
         this->owner->policy.on_connect(request, connected);
         if(!connected) {
-            co_return core::fail(core::reason::unavailable, "the relay cannot connect to the upstream");
+            co_return core::fail(core::reason::connection_refused, "the relay cannot connect to the upstream");
         }
         this->upstream.set_option(tcp::no_delay{true}, failure);
         core::set_unacknowledged_timeout(this->upstream, this->owner->settings.unacknowledged_timeout);
--- a/test/edge/entry_settings_test.cpp
+++ b/test/edge/entry_settings_test.cpp
@@ -47,9 +47,13 @@
     CHECK(values->seeds == std::vector<std::string>{"10.0.0.1", "10.0.0.2"});
     CHECK(values->lease_time == std::chrono::seconds{3});
     CHECK(values->metrics_port == 7381u);
+    CHECK(values->relay_port == 7382u);
     const auto explicit_port = parse_entry_settings(this->with_value("unused", "1, \"metrics_port\": 9464"));
     REQUIRE(explicit_port.has_value());
     CHECK(explicit_port->metrics_port == 9464u);
+    const auto explicit_relay_port = parse_entry_settings(this->with_value("unused", "1, \"relay_port\": 7390"));
+    REQUIRE(explicit_relay_port.has_value());
+    CHECK(explicit_relay_port->relay_port == 7390u);
 }
 
 // Guards against a node that starts with an invalid value, and against an error message without the key.
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -367,6 +367,15 @@
                                       .membership = *membership,
                                       .peers = peers},
         "n"};
+    partitioned_nodes partitions{};
+    std::shared_ptr<upstream_paths> paths{std::make_shared<upstream_paths>(upstream_paths_context{.io = node_context,
+                                                                               .clock = clock,
+                                                                               .log = log,
+                                                                               .upstreams = upstreams,
+                                                                               .membership = *membership,
+                                                                               .client = upstream_client,
+                                                                               .partitions = partitions},
+        upstream_paths_options{.node_name = "n"})};
     std::shared_ptr<placement_service> placement{
         std::make_shared<placement_service>(placement_context{.io = node_context,
                                                 .clock = clock,
@@ -408,6 +417,7 @@
         .verifier = verifier,
         .prompt_parts = prompt_parts,
         .origins = origins,
+        .paths = *paths,
         .membership = *membership,
         .metrics = metrics}};
     http::server caller_server{node_context, request_forwarder, http::server_options{}};
--- a/test/relay/relay_test.cpp
+++ b/test/relay/relay_test.cpp
@@ -187,7 +187,7 @@
     this->policy.target.port = unused.local_endpoint().port();
     const auto answer = this->open("/echo");
     REQUIRE_FALSE(answer.has_value());
-    CHECK(answer.error().cause == core::reason::unavailable);
+    CHECK(answer.error().cause == core::reason::connection_refused);
     CHECK(answer.error().verdict == core::verdict::not_run);
 }
 
