relay: a connection to a relay no longer keeps its port from servers

Cause: relay_connector binds its sockets to the address of the node without SO_REUSEADDR. The port that the system picks cannot be listened on then, and for a minute after the connection in TIME-WAIT neither. A node that restarts beside its own former connections can fail to start in the same way, and so can a node of another test at the same loopback address.

Evidence: a trial with plain sockets gets 'Address already in use' for a listener with SO_REUSEADDR on the port of a bound connection, while it is open and after its end; with the option on both, both times none. The test relay_connection_port_can_be_listened_on does the same with the connector.

Change: the option is set before the socket is bound.

--- a/src/lagoonsaddle/relay/relay_connector.cpp
+++ b/src/lagoonsaddle/relay/relay_connector.cpp
@@ -18,6 +18,10 @@
     }
     if(!failure && !this->settings.local_address.empty()) {
         const auto local = asio::ip::make_address(this->settings.local_address, failure);
+        // Without this option the port of this connection cannot be listened on, for a minute after its end too.
+        if(!failure) {
+            socket.set_option(tcp::socket::reuse_address{true}, failure);
+        }
         if(!failure) {
             socket.bind(tcp::endpoint{local, 0u}, failure);
         }
--- a/test/relay/relay_test.cpp
+++ b/test/relay/relay_test.cpp
@@ -206,6 +206,26 @@
     CHECK(this->exchange_close_delimited(true) == std::nullopt);
 }
 
+// Guards against a connection to a relay whose port keeps a server of the same address from starting.
+TEST_CASE_FIXTURE(relay_fixture, "relay_connection_port_can_be_listened_on") {
+    tcp::acceptor silent_relay{this->raw_context, {asio::ip::make_address(loopback), 0u}};
+    relay_connector connector{{.relay = {.address = loopback, .port = silent_relay.local_endpoint().port()},
+        .local_address = loopback,
+        .node = "n1",
+        .upstream = "u1"}};
+    tcp::socket connection{this->context};
+    auto connected = asio::co_spawn(this->context, connector.connect(connection, {}), asio::use_future);
+    auto accepted = silent_relay.accept();
+    tcp::acceptor server{this->raw_context};
+    server.open(tcp::v4());
+    server.set_option(tcp::acceptor::reuse_address{true});
+    boost::system::error_code failure{};
+    server.bind(accepted.remote_endpoint(), failure);
+    CHECK_FALSE(failure);
+    accepted.close();
+    CHECK_FALSE(connected.get().has_value());
+}
+
 // Guards against peers that use up the memory and the descriptors of the relay.
 TEST_CASE_FIXTURE(relay_fixture, "relay_at_limit_refuses_further_connections") {
     auto first = this->open("/echo");
