test: each process of node tests has loopback addresses of its own

Tests that run side by side started their nodes at the same addresses and looked for free ports at another one, so that a port could be taken by the node of another test. The addresses now depend on the process id.

--- a/test/platform_node/entry_node_case.py
+++ b/test/platform_node/entry_node_case.py
@@ -27,6 +27,12 @@
                   "engine": {"adapterSlots": 2, "loadsPerS": 2, "models": [{"name": "m", "loadS": 1}]}}]}
 
 
+def node_address(number):
+    """Returns a loopback address that the nodes of other test processes do not use."""
+    process = os.getpid()
+    return f"127.{1 + process // 256 % 254}.{process % 256}.{number}"
+
+
 def free_port():
     """Returns a free port of 127.0.0.1; another process may take it before it is used."""
     with socket.socket() as probe:
@@ -40,7 +46,7 @@
     address_numbers = itertools.count(11)
 
     def __init__(self, store, name, ports, seeds):
-        self.ip, self.name, self.ports = f"127.0.0.{next(self.address_numbers)}", name, ports
+        self.ip, self.name, self.ports = node_address(next(self.address_numbers)), name, ports
         self.seeds = seeds or [self.ip]
         with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
             file.write(f"""// Settings of a test.
