edge: nodes make an upstream refuse fewer requests than it states that it bears

Cause: nothing read the statement. Each node sent to a full upstream again as soon as it had refused one request, and each refused request was tried on up to four upstreams.

Change: concurrency_limit, one for each upstream and node. At a refusal each node keeps to what it has in progress there, so that a request is sent when another one ends; the nodes tell each other of refusals (upstream_full), and all pause when 0.6 times the stated number was refused within a second. All nodes together try about once a second whether there is more room. A refused request is sent twice instead of four times. The end of an upstream that has refused as many is no evidence of a crash on the requests that it held.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -58,13 +58,14 @@
           .window = this->settings.retry_window}},
       membership{std::make_shared<cluster::membership_service>(
           this->context.io, this->context.clock, fleet::membership_settings{})},
+      peers{this->context.io, *this->membership,
+          wire::hello{.node = this->settings.name, .availability_zone = this->settings.availability_zone}},
       limits{upstream_limits_context{.clock = this->context.clock,
                  .log = this->log,
                  .upstreams = this->upstreams,
-                 .membership = *this->membership},
+                 .membership = *this->membership,
+                 .peers = this->peers},
           this->settings.name},
-      peers{this->context.io, *this->membership,
-          wire::hello{.node = this->settings.name, .availability_zone = this->settings.availability_zone}},
       quarantine{policy::crash_quarantine_options{
                      .crashes_until_quarantine = crashes_until_quarantine, .suspect_duration = suspect_duration},
           *this->membership, this->peers},
@@ -280,6 +281,8 @@
         }
     } else if(message.type == wire::message_type::prompt_part_update) {
         this->prompt_parts.merge(message.body);
+    } else if(message.type == wire::message_type::upstream_full) {
+        this->limits.merge_refusal(message.body);
     } else if(message.type == wire::message_type::stream_origin_update) {
         this->origins.merge(message.body);
     } else if(message.type == wire::message_type::stream_origin_get) {
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -24,6 +24,8 @@
 
 /*! @brief Number of sends after which a request that an upstream refused is not sent again. */
 constexpr unsigned sends_max{4u};
+/*! @brief The same for upstreams that fall over after many refusals. */
+constexpr unsigned sends_max_if_refusals_limited{2u};
 /*! @brief Placements of one request, including those whose adapter could not be loaded. */
 constexpr unsigned placements_max{6u};
 /*! @brief Number of first placements that fail at once, instead of waiting, when all adapter slots are in use. */
@@ -267,7 +269,7 @@
     }
     state.probes_prompt_part = false;
     const auto now = this->context.clock.now();
-    known->throttle.record_send(now);
+    this->context.limits.record_send(*known);
     state.sent_at = now;
     state.sent_version = this->context.upstreams.certain_version(*known, now);
     const auto remaining = to_ms(state.deadline - now);
@@ -349,7 +351,8 @@
     if(known != nullptr && !state.path_lost && !state.relayed) {
         known->health.record(true, now);
         // An upstream crashes on a request before it answers; what ends an answer later has another cause.
-        if(state.last_failure.cause == core::reason::connection_lost && !state.head_sent) {
+        const bool fell_over = known->concurrency.may_have_fallen_over(now);
+        if(state.last_failure.cause == core::reason::connection_lost && !state.head_sent && !fell_over) {
             this->record_crash(state, known->entry);
         }
     }
@@ -389,8 +392,11 @@
         if(known != nullptr) {
             known->refused_at = now;
         }
+        this->context.limits.record_refusal(upstream);
     }
-    return state.sends < sends_max ? attempt_result::retry : attempt_result::fail;
+    const bool refusals_limited = known != nullptr && known->concurrency.refusals_per_second().has_value();
+    const auto sends_allowed = refusals_limited ? sends_max_if_refusals_limited : sends_max;
+    return state.sends < sends_allowed ? attempt_result::retry : attempt_result::fail;
 }
 
 } // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -53,6 +53,7 @@
 void forwarder::observe_upstream(
     const exchange_state& state, const std::string& upstream, const response_metadata& head) {
     this->context.limits.observe(upstream, head.rate_limit, state.sent_at);
+    this->context.limits.observe_refusal_limit(upstream, head.refusal_limit, state.sent_at);
     auto* known = this->context.upstreams.find(upstream);
     if(known != nullptr && head.retry_after) {
         known->throttle.hold(this->context.clock.now() + *head.retry_after);
--- a/src/lagoonsaddle/edge/internal_entry_node.hpp
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -93,8 +93,8 @@
     upstream_selector selector;
     retry_budget budget;
     std::shared_ptr<cluster::membership_service> membership;
-    upstream_limits limits;
     cluster::peer_directory peers;
+    upstream_limits limits;
     cluster::quarantine_service quarantine;
     crash_verifier verifier{crash_verifier_options{.crashes_until_quarantine = internal::crashes_until_quarantine,
         .suspect_duration = internal::suspect_duration}};
--- a/src/lagoonsaddle/edge/upstream_limits.cpp
+++ b/src/lagoonsaddle/edge/upstream_limits.cpp
@@ -3,6 +3,8 @@
 #include <utility>
 
 #include <lagoonsaddle/edge/upstream_limits.hpp>
+#include <lagoonsaddle/wire/codec.hpp>
+#include <lagoonsaddle/wire/messages.hpp>
 
 namespace lagoonsaddle::edge {
 
@@ -45,6 +47,57 @@
         .value = encode_limit(per_second)});
 }
 
+void upstream_limits::observe_refusal_limit(
+    const std::string& upstream, std::optional<unsigned> refusals_per_second, core::time_point sent_at) {
+    auto* known = this->context.upstreams.find(upstream);
+    if(known == nullptr || !known->concurrency.observe(refusals_per_second, sent_at, this->context.clock.now())) {
+        return;
+    }
+    this->context.log.write(log_line{"refusal_limit"}
+                                .add("upstream", upstream)
+                                .add("outcome", refusals_per_second ? "limited" : "unlimited")
+                                .add("per_second", static_cast<std::int64_t>(refusals_per_second.value_or(0u))));
+}
+
+double upstream_limits::draw_jitter() {
+    return std::uniform_real_distribution<double>{0.0, 1.0}(this->random);
+}
+
+void upstream_limits::record_refusal(const std::string& upstream) {
+    auto* known = this->context.upstreams.find(upstream);
+    if(known == nullptr) {
+        return;
+    }
+    // The refused request still counts as in progress.
+    const room_refusal refusal{.in_flight = known->in_flight - std::min(known->in_flight, 1u),
+        .nodes = this->nodes.size(),
+        .jitter = this->draw_jitter()};
+    const auto told = known->concurrency.record_refusal(refusal, this->context.clock.now());
+    if(told) {
+        const wire::upstream_full notice{
+            .upstream = upstream, .started_ms = known->entry.started_ms, .growth = told->growth};
+        this->context.peers.broadcast(wire::message_type::upstream_full, wire::pack(notice));
+    }
+}
+
+void upstream_limits::merge_refusal(std::string_view packed) {
+    const auto notice = wire::unpack<wire::upstream_full>(packed);
+    auto* known = notice ? this->context.upstreams.find(notice->upstream) : nullptr;
+    if(known != nullptr && known->entry.started_ms == notice->started_ms) {
+        const room_refusal refusal{.growth = notice->growth,
+            .in_flight = known->in_flight,
+            .nodes = this->nodes.size(),
+            .jitter = this->draw_jitter()};
+        known->concurrency.record_peer_refusal(refusal, this->context.clock.now());
+    }
+}
+
+void upstream_limits::record_send(upstream_state& upstream) const {
+    const auto now = this->context.clock.now();
+    upstream.throttle.record_send(now);
+    upstream.concurrency.record_send(upstream.in_flight, now);
+}
+
 void upstream_limits::apply(const fleet::gossip_item& item) {
     auto* known = item.kind == limit_item_kind ? this->context.upstreams.find(item.key) : nullptr;
     const auto per_second = decode_limit(item.value);
@@ -79,7 +132,10 @@
     // A node that does not know the others yet has no share.
     const bool shares = limit && this->context.membership.joined();
     const auto senders = shares ? count_senders(*limit, upstream.entry.id, this->node_name, this->nodes) : 0u;
-    return upstream.throttle.wait_time(senders, this->context.clock.now());
+    const auto now = this->context.clock.now();
+    const auto throttled = upstream.throttle.wait_time(senders, now);
+    const auto concurrent = upstream.concurrency.wait_time(upstream.in_flight, now);
+    return throttled && concurrent ? std::optional{std::max(*throttled, *concurrent)} : std::nullopt;
 }
 
 bool upstream_limits::may_send(const upstream_state& upstream) const {
--- a/src/lagoonsaddle/edge/upstream_table.cpp
+++ b/src/lagoonsaddle/edge/upstream_table.cpp
@@ -90,6 +90,7 @@
         known.observations.clear();
         known.health = {};
         known.throttle = {};
+        known.concurrency.record_restart();
         known.restart_suspected_at.reset();
     }
     std::erase_if(
--- a/src/lagoonsaddle/edge/upstream_table.hpp
+++ b/src/lagoonsaddle/edge/upstream_table.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include <lagoonsaddle/core/clock.hpp>
+#include <lagoonsaddle/edge/concurrency_limit.hpp>
 #include <lagoonsaddle/edge/types.hpp>
 #include <lagoonsaddle/edge/upstream_health.hpp>
 #include <lagoonsaddle/edge/upstream_throttle.hpp>
@@ -31,6 +32,7 @@
     /*! @brief When the upstream last refused a request because it was full. */
     core::time_point refused_at{core::time_point::min()};
     upstream_throttle throttle{};
+    concurrency_limit concurrency{};
     /*! @brief Set when the entry is missing after an outage of the store: time at which the upstream is removed. */
     std::optional<core::time_point> missing_until{};
     /*! @brief Set when the upstream was removed and is listed again unchanged: time from which it is used, unless its
--- a/src/lagoonsaddle/wire/frame.hpp
+++ b/src/lagoonsaddle/wire/frame.hpp
@@ -40,11 +40,12 @@
     prompt_part_update = 24,
     stream_origin_update = 25,
     stream_origin_get = 26,
-    stream_origin_reply = 27
+    stream_origin_reply = 27,
+    upstream_full = 28
 };
 
 /*! @brief Newest type of message that this node knows. */
-inline constexpr message_type newest_message_type{message_type::stream_origin_reply};
+inline constexpr message_type newest_message_type{message_type::upstream_full};
 
 /*! @brief Newest type of message that a node knows which does not state it. */
 inline constexpr message_type baseline_message_type{message_type::prompt_part_update};
--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -356,6 +356,17 @@
     MSGPACK_DEFINE_ARRAY(origin, versions, versions_complete)
 };
 
+/*! @brief An upstream that falls over after many refusals has refused a request for want of room. Has no answer. */
+struct upstream_full {
+    std::string upstream{};
+    /*! @brief Identifies the incarnation of the upstream. */
+    std::uint64_t started_ms{};
+    /*! @brief Whether the request only asked whether there is more room. */
+    bool growth{};
+
+    MSGPACK_DEFINE_ARRAY(upstream, started_ms, growth)
+};
+
 /*! @brief Asks a node for the explain record of a request. */
 struct explain_get {
     std::string request_id{};
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -353,8 +353,9 @@
     std::shared_ptr<cluster::membership_service> membership{
         std::make_shared<cluster::membership_service>(node_context, clock, fleet::membership_settings{})};
     recording_upstream_observer observer{};
-    upstream_limits limits{{.clock = clock, .log = log, .upstreams = upstreams, .membership = *membership}, "n"};
     cluster::peer_directory peers{node_context, *membership, wire::hello{.node = "n"}};
+    upstream_limits limits{
+        {.clock = clock, .log = log, .upstreams = upstreams, .membership = *membership, .peers = peers}, "n"};
     cluster::quarantine_service quarantine{{.crashes_until_quarantine = 3u}, *membership, peers};
     crash_verifier verifier{{}};
     prompt_part_guard prompt_parts{
--- a/test/host_platform/request_format_test.cpp
+++ b/test/host_platform/request_format_test.cpp
@@ -146,4 +146,22 @@
     CHECK_FALSE(format.parse_response_head(200u, {}).rate_limit.has_value());
 }
 
+// Guards against an upstream that is thought to bear any number of refusals, or none, because of an unusual statement.
+TEST_CASE("parse_response_head_refusal_limit_is_read_only_as_whole_number") {
+    const request_format format{};
+    const auto refusal_limit_of = [&format](const char* value) {
+        http::fields headers{};
+        headers.set("Server-Brittle", value);
+        return format.parse_response_head(503u, headers).refusal_limit;
+    };
+    CHECK(refusal_limit_of("12") == 12u);
+    CHECK(refusal_limit_of(" 5 ") == 5u);
+    CHECK(refusal_limit_of("0") == 0u);
+    CHECK(refusal_limit_of("18446744073709551615") == 1'000'000u);
+    for(const auto* invalid : {"", "-1", "1.5", "many", "99999999999999999999"}) {
+        CHECK_FALSE(refusal_limit_of(invalid).has_value());
+    }
+    CHECK_FALSE(format.parse_response_head(503u, {}).refusal_limit.has_value());
+}
+
 } // namespace lagoonsaddle::host_platform
