relay, edge: a request that crashes engines through a relay is recorded as such

What callers would have seen: while nodes are partitioned, what they send through peers may crash engine after engine before the fleet refuses it.

Cause: a node took no evidence from relayed connections, as their end could be that of the peer. Class: a fault of the path and one of the upstream look alike.

Change: when the upstream ends or resets a relayed connection before it has answered, and the relay is not partitioned itself, the relay ends the peer's connection in an orderly way. The end of the relay, killed or not, arrives as a reset as before, so that the node can tell the two. An empty answer cannot be taken for a complete one.

--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -348,7 +348,9 @@
     }
     ++state.possible_runs;
     state.verdict = core::verdict::may_have_run;
-    if(known != nullptr && !state.path_lost && !state.relayed) {
+    // A relay ends the connection in an orderly way only when the upstream has lost it.
+    const bool lost_by_upstream = state.relayed ? state.control->closed_unanswered() : !state.path_lost;
+    if(known != nullptr && lost_by_upstream) {
         known->health.record(true, now);
         // An upstream crashes on a request before it answers; what ends an answer later has another cause.
         const bool fell_over = known->concurrency.may_have_fallen_over(now);
--- a/src/lagoonsaddle/edge/upstream_paths.cpp
+++ b/src/lagoonsaddle/edge/upstream_paths.cpp
@@ -283,4 +283,8 @@
         asio::detached);
 }
 
+asio::awaitable<bool> upstream_paths::reset_by_upstream(std::string upstream) {
+    return this->reaches_upstreams(std::move(upstream));
+}
+
 } // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -239,6 +239,9 @@
         if(!failure) {
             failure = co_await this->read_head(options);
         }
+        if(failure == beast_http::error::end_of_stream && options.control) {
+            options.control->ended_unanswered = true;
+        }
         if(failure) {
             co_return this->lost(failure);
         }
--- a/src/lagoonsaddle/http/client.hpp
+++ b/src/lagoonsaddle/http/client.hpp
@@ -42,11 +42,17 @@
         return this->stopped;
     }
 
+    /*! @brief Returns whether the peer has ended the connection in an orderly way before it answered. */
+    [[nodiscard]] bool closed_unanswered() const noexcept {
+        return this->ended_unanswered;
+    }
+
 private:
     friend class client;
 
     std::function<void()> close{};
     bool stopped{false};
+    bool ended_unanswered{false};
 };
 
 /*! @brief Options of one exchange. */
--- a/src/lagoonsaddle/relay/relay_server.cpp
+++ b/src/lagoonsaddle/relay/relay_server.cpp
@@ -115,7 +115,7 @@
             std::min(std::chrono::milliseconds{request->lifetime_ms}, this->owner->settings.lifetime_max));
         asio::co_spawn(
             this->owner->context, [self = this->shared_from_this()] { return self->pass_requests(); }, asio::detached);
-        co_await this->pass_answers();
+        co_await this->pass_answers(request->upstream);
     }
 
 private:
@@ -163,14 +163,21 @@
     }
 
     /*! @brief Passes on what the upstream sends, until it ends or resets its connection. */
-    [[nodiscard]] asio::awaitable<void> pass_answers() {
+    [[nodiscard]] asio::awaitable<void> pass_answers(std::string id) {
         std::array<char, buffer_size> buffer{};
+        bool answered{false};
         while(true) {
             const auto count = co_await read_some(this->upstream, buffer);
+            const bool reset = !count && !answered && this->peer.is_open();
+            if(reset && co_await this->owner->policy.reset_by_upstream(id)) {
+                this->finish_peer();
+                co_return;
+            }
             if(!count || !this->peer.is_open()) {
                 this->close();
                 co_return;
             }
+            answered = true;
             if(*count == 0u) {
                 this->finish_peer();
                 co_return;
--- a/src/lagoonsaddle/relay/relay_server.hpp
+++ b/src/lagoonsaddle/relay/relay_server.hpp
@@ -5,8 +5,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <lagoonsaddle/core/endpoint.hpp>
@@ -34,6 +36,13 @@
 
     /*! @brief Called with the outcome of a connection attempt to an upstream. */
     virtual void on_connect(const open_request& request, bool connected) = 0;
+
+    /**
+     * @brief Called when a connection to an upstream was reset before the upstream answered.
+     * @param upstream Id of the upstream.
+     * @return Whether the upstream has reset it, rather than a partition of this node.
+     */
+    [[nodiscard]] virtual boost::asio::awaitable<bool> reset_by_upstream(std::string upstream) = 0;
 };
 
 /*! @brief Options of `relay_server`. */
@@ -55,9 +64,10 @@
  * @brief Joins connections of peers to connections to upstreams, one exchange each, and passes their bytes on unread.
  *
  * Reads from one side only what the other side has taken, so that a slow reader slows the writer. A peer that closes
- * its connection ends that to the upstream. When the upstream ends its connection, so does the relay; when it resets
- * it, or when this process ends, the peer's connection is reset, so that a cut answer cannot be taken for a complete
- * one. Must only be used from the thread that runs the `io_context`.
+ * its connection ends that to the upstream. When the upstream ends its connection, or resets it before it has answered,
+ * the relay ends the peer's: the peer may take that for a crash of the upstream. When the upstream resets its
+ * connection later, or this process ends, the peer's is reset, so that a cut answer cannot be taken for a complete one.
+ * Must only be used from the thread that runs the `io_context`.
  */
 class relay_server {
 public:
--- a/test/platform_node/relay_test.py
+++ b/test/platform_node/relay_test.py
@@ -24,9 +24,13 @@
 
     def __init__(self, *arguments):
         self.works_long, self.begun, self.closed_at = False, False, None
+        self.loses_requests = False
         super().__init__(*arguments)
 
     def send_stream(self, handler, adapter):
+        if self.loses_requests:
+            handler.close_connection = True
+            return
         if self.works_long:
             self.begun = True
             self.work(handler.connection)
@@ -105,6 +109,14 @@
         self.assertEqual([], [(outcome.id, outcome.status) for outcome in later if not outcome.served])
         self.assertNotIn("event=crash ", self.read_log(self.nodes[0]))
 
+    def test_request_that_engines_lose_through_relays_is_recorded_as_crash(self):
+        """What crashes engines must be found out also when only nodes that are cut send it."""
+        self.cut_first_node()
+        for engine in self.engines:
+            engine.loses_requests = True
+        self.assertEqual(502, self.nodes[0].send_request(self.next_id(), "a0", deadline_ms=4_000)[0])
+        self.eventually(lambda: "event=crash upstream=" in self.read_log(self.nodes[0]), "the crash is recorded")
+
     def test_caller_that_leaves_ends_the_work_of_the_engine(self):
         """The relay must close its connection to the engine when the caller of its peer has left."""
         self.cut_first_node()
--- a/test/relay/relay_test.cpp
+++ b/test/relay/relay_test.cpp
@@ -61,7 +61,12 @@
 
     void on_connect(const open_request&, bool) override {}
 
+    asio::awaitable<bool> reset_by_upstream(std::string) override {
+        co_return this->reaches_upstreams;
+    }
+
     core::endpoint target{};
+    bool reaches_upstreams{true};
 };
 
 struct relay_fixture {
@@ -142,6 +147,29 @@
         return this->read_all(**answer);
     }
 
+    /*! @brief Lets the upstream end the connection of a request unanswered; returns whether the client takes that for
+     * the doing of the upstream. */
+    bool lose_request_at_upstream(bool reset) {
+        tcp::acceptor acceptor{this->raw_context, {asio::ip::make_address(loopback), 0u}};
+        this->policy.target.port = acceptor.local_endpoint().port();
+        auto served = std::async(std::launch::async, [&acceptor, reset] {
+            auto socket = acceptor.accept();
+            std::string received{};
+            asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n");
+            if(reset) {
+                socket.set_option(asio::socket_base::linger{true, 0});
+            }
+            socket.close();
+        });
+        this->control = std::make_shared<http::exchange_control>();
+        const auto answer = this->open("/");
+        served.get();
+        REQUIRE_FALSE(answer.has_value());
+        CHECK(answer.error().cause == core::reason::connection_lost);
+        CHECK(answer.error().verdict == core::verdict::may_have_run);
+        return this->control->closed_unanswered();
+    }
+
     asio::io_context context{1};
     asio::io_context raw_context{};
     asio::executor_work_guard<asio::io_context::executor_type> work{this->context.get_executor()};
@@ -206,6 +234,14 @@
     CHECK(this->exchange_close_delimited(true) == std::nullopt);
 }
 
+// Guards against a crash of the upstream that is taken for the end of the relay, and against the opposite.
+TEST_CASE_FIXTURE(relay_fixture, "relay_unanswered_end_of_upstream_is_told_from_own_partition") {
+    CHECK(this->lose_request_at_upstream(false));
+    CHECK(this->lose_request_at_upstream(true));
+    this->policy.reaches_upstreams = false;
+    CHECK_FALSE(this->lose_request_at_upstream(true));
+}
+
 // Guards against a connection to a relay whose port keeps a server of the same address from starting.
 TEST_CASE_FIXTURE(relay_fixture, "relay_connection_port_can_be_listened_on") {
     tcp::acceptor silent_relay{this->raw_context, {asio::ip::make_address(loopback), 0u}};
