soak, test: partitioned nodes, brittle engines and engines that fall silent for a second

Change: all nodes but every fourth have links of their own (StoreView and EngineLink of the node tests); partitions hang, reset or refuse. Engines can be brittle together, and fall silent without a word. A link refuses connections while its target does, passes resets on as such and keeps its port while it is cut.

--- a/test/platform_node/engine_link.py
+++ b/test/platform_node/engine_link.py
@@ -1,6 +1,7 @@
-"""Links between one node and the engines, which can be cut, and the view of the store that leads the node to them."""
+"""Links between one node and upstreams, which can be cut, and the view of the store that leads the node to them."""
 
 import asyncio
+import contextlib
 import json
 import socket
 import struct
@@ -14,6 +15,19 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+def socket_address(address):
+    """Returns the host and the port of an address in the host:port form."""
+    host, _, port = address.partition(":")
+    return host, int(port)
+
+
+def reset(writer):
+    """Resets a connection, unless it is closed already."""
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 class LinkLoop:
     """The event loop that carries all links, on a thread of its own."""
 
@@ -40,7 +54,7 @@
 
 
 class EngineLink:
-    """A TCP proxy in front of an engine that one node uses.
+    """A TCP proxy in front of an upstream that one node uses.
 
     Ways to cut it: `hang` (nothing arrives, in both directions, and new connections get no answer), `reset` (open
     connections are reset and new ones refused), `refuse` (open connections live on, new ones are refused).
@@ -48,7 +62,8 @@
 
     def __init__(self, links, target):
         self.links, self.target = links, target
-        self.port, self.writers, self.blockers = 0, set(), []
+        self.port, self.writers, self.blockers, self.reservation = 0, set(), [], None
+        self.how, self.target_down, self.accepts = None, False, True
         self.flowing = asyncio.Event()
         self.flowing.set()
         self.links.run(self.listen())
@@ -57,10 +72,6 @@
     def address(self):
         return f"127.0.0.1:{self.port}"
 
-    async def listen(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
-
     async def serve(self, reader, writer):
         """Passes the bytes of one connection on."""
         try:
@@ -82,53 +93,83 @@
             await self.flowing.wait()
             writer.close()
         except OSError:
-            writer.transport.abort()
+            reset(writer)
 
     def cut(self, how):
-        self.links.run(self.cut_connections(how))
+        self.links.run(self.apply(how, self.target_down))
 
-    async def cut_connections(self, how):
-        self.server.close()
-        await asyncio.sleep(0)
+    def heal(self):
+        self.links.run(self.apply(None, self.target_down))
+
+    def set_target_down(self, down):
+        """Refuses new connections while the target does, instead of accepting and closing them."""
+        self.links.run(self.apply(self.how, down))
+
+    async def apply(self, how, target_down):
+        """Applies how the link is cut, nothing if it is not, and whether its target refuses connections."""
+        self.how, self.target_down = how, target_down
         if how == "reset":
             for writer in self.writers:
-                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-                writer.transport.abort()
+                reset(writer)
+        accepts = not how and not target_down
+        if not accepts:
+            await self.refuse_connections()
+        elif not self.accepts:
+            await self.listen()
+        self.accepts = accepts
         if how == "hang":
             self.flowing.clear()
             self.block_port()
+        else:
+            self.flowing.set()
+
+    async def refuse_connections(self):
+        """Refuses new connections, and keeps other processes from taking the port."""
+        self.server.close()
+        await asyncio.sleep(0)
+        self.close_blockers()
+        if not self.reservation:
+            self.reservation = self.bind_port()
+
+    def bind_port(self):
+        """Returns a socket that is bound to the port."""
+        bound = socket.socket()
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind(("127.0.0.1", self.port))
+        return bound
+
+    def close_blockers(self):
+        for blocker in self.blockers:
+            blocker.close()
+        self.blockers = []
 
     def block_port(self):
         """Lets new connections hang."""
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(("127.0.0.1", self.port))
-        listener.listen(0)
-        self.blockers = [listener]
+        self.blockers = [self.bind_port()]
+        self.blockers[0].listen(0)
         for _ in range(BACKLOG_CONNECTIONS):
             client = socket.socket()
             client.setblocking(False)
             client.connect_ex(("127.0.0.1", self.port))
             self.blockers.append(client)
 
-    def heal(self):
-        self.links.run(self.heal_connections())
-
-    async def heal_connections(self):
-        for blocker in self.blockers:
-            blocker.close()
-        self.blockers = []
-        await self.listen()
-        self.flowing.set()
+    async def listen(self):
+        """Accepts connections."""
+        self.close_blockers()
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        if self.reservation:
+            self.reservation.close()
+            self.reservation = None
 
 
 class StoreView(standin.Server):
-    """The store as one node sees it: the entries of engines state the addresses of this node's links."""
+    """The store as one node sees it: the entries of upstreams state the addresses of this node's links."""
 
-    def __init__(self, store, links, engines):
+    def __init__(self, store, links, addresses):
         self.store = store
-        self.links = [EngineLink(links, engine.server_address) for engine in engines]
-        self.addresses = {engine.address: link.address for engine, link in zip(engines, self.links)}
+        self.links = [EngineLink(links, socket_address(address)) for address in addresses]
+        self.addresses = {address: link.address for address, link in zip(addresses, self.links)}
         super().__init__()
 
     def respond(self, handler, body):
--- a/test/platform_node/entry_node_case.py
+++ b/test/platform_node/entry_node_case.py
@@ -16,6 +16,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 import standin  # noqa: E402
+from addresses import free_ports, node_address  # noqa: E402
 
 BINARY = pathlib.Path(os.environ["LAGOONSADDLE_BUILD"]) / "bin" / "lagoonsaddled"
 CONDITION_TIMEOUT_S = 60.0
@@ -27,19 +28,6 @@
                   "engine": {"adapterSlots": 2, "loadsPerS": 2, "models": [{"name": "m", "loadS": 1}]}}]}
 
 
-def node_address(number):
-    """Returns a loopback address that the nodes of other test processes do not use."""
-    process = os.getpid()
-    return f"127.{1 + process // 256 % 254}.{process % 256}.{number}"
-
-
-def free_port():
-    """Returns a free port of 127.0.0.1; another process may take it before it is used."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Node:
     """An entry node process with its own loopback address."""
 
@@ -111,7 +99,7 @@
         self.ids = map("{:016x}".format, itertools.count(1))
         self.store = self.STORE_TYPE()
         self.engines = [self.ENGINE_TYPE(self.store, f"i-{number}", "z") for number in range(self.ENGINE_COUNT)]
-        self.ports = [free_port() for _ in range(3)]
+        self.ports = free_ports(3)
         self.nodes = []
 
     def tearDown(self):
--- a/test/platform_node/partition_test.py
+++ b/test/platform_node/partition_test.py
@@ -47,7 +47,7 @@
         self.links.stop()
 
     def store_of_next_node(self):
-        self.views.append(StoreView(self.store, self.links, self.engines))
+        self.views.append(StoreView(self.store, self.links, [engine.address for engine in self.engines]))
         return self.views[-1]
 
     def start_partition_fleet(self):
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -48,6 +48,11 @@
         """Returns whether the complete response body arrived."""
         return self.body is not None
 
+    @property
+    def served(self):
+        """Returns whether the whole answer of an upstream arrived."""
+        return self.status == 200 and self.complete
+
     @property
     def events(self):
         """Returns the events that have arrived."""
--- a/test/soak/links.py
+++ b/test/soak/links.py
@@ -43,12 +43,22 @@
         self.proxy = fleet.Standin(name, "fault_proxy", options, BINARIES, directory)
         self.address = f"127.0.0.1:{self.proxy.port}"
         self.disturbances = Disturbances()
+        # Links of single nodes that lead to this one.
+        self.node_links = []
 
     def inject_fault(self, fault):
         self.disturbances.begin()
         self.proxy.set_faults(**fault)
+        if fault.get("cut"):
+            self.set_down(True)
+
+    def set_down(self, down):
+        """Lets the links of the nodes refuse connections as this one does."""
+        for link in self.node_links:
+            link.set_target_down(down)
 
     def clear_faults(self):
+        self.set_down(False)
         self.proxy.set_faults(cut=False, freeze=False, half_open=False, drop_answers=False, delay_ms=0)
         self.disturbances.end()
 
--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -27,6 +27,11 @@
 # Streams that are taken up, from which on the share of those that go on counts, relative to new streams that begin.
 RESUMED_MIN = 12
 RESUMED_SHARE_MIN = 0.5
+PARTITIONED_SHARE_MIN = 2 / 3
+PARTITIONED_FAILURES_MAX = 10
+PARTITIONED_FAILURE_SHARE_MAX = 1 / 50
+FALLS_MAX = 2
+FALLS_PER_ENGINE = 0.1
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # The recovery check calls all nodes repeatedly; each call may wait for a load.
 PROBE_INTERVAL_S = 0.1
@@ -46,7 +51,7 @@
             check_order_turns(cluster) + check_route_changes(cluster, calls) + check_draining(cluster) + check_shutdowns(cluster, calls) +
             check_retry_budget(cluster, calls) + check_limits(cluster) + check_times_to_return(cluster) +
             check_crashing_parts(cluster, calls) + check_software_versions(cluster, calls) +
-            check_resumed_share(cluster, calls))
+            check_resumed_share(cluster, calls) + check_partitions(cluster, calls) + check_falls(cluster, calls))
 
 
 def executions_by_id(cluster):
@@ -130,6 +135,39 @@
     return [f"resumed streams: {share:.2f} of {len(resumed)} go on, {new_share:.2f} of {len(begun)} new ones begin"]
 
 
+def check_partitions(cluster, calls):
+    """From STABILIZATION_S after some nodes were partitioned from all upstreams, they serve nearly as well as others."""
+    violations = []
+    for partition in cluster.partitions:
+        begin, end = partition.begin + STABILIZATION_S, partition.end or time.monotonic()
+        tries = [call for call in calls if begin <= call.begin <= end and not call.resumes and
+                 not cluster.disturbed(call.begin - STABILIZATION_S, call.end)]
+        own = [call for call in tries if call.node in partition.nodes]
+        others = [call for call in tries if not call.node.partitions.overlaps(call.begin, call.end)]
+        failed = sum(not call.served for call in own)
+        if failed <= PARTITIONED_FAILURES_MAX + PARTITIONED_FAILURE_SHARE_MAX * len(own) or not others:
+            continue
+        share, others_share = (sum(call.served for call in group) / len(group) for group in (own, others))
+        if share < PARTITIONED_SHARE_MIN * others_share:
+            violations.append(f"partition: {share:.2f} of {len(own)} requests were served, {others_share:.2f} of "
+                              f"{len(others)} on other nodes")
+    return violations
+
+
+def check_falls(cluster, calls):
+    """While engines state that they are brittle, few fall over because of what undisturbed nodes sent."""
+    nodes, violations = {call.id: call.node for call in calls}, []
+    for period in cluster.brittle_periods:
+        counted = 0
+        for at, refused in period.falls:
+            in_touch = [request_id for request_id in refused if request_id in nodes and
+                        not cluster.out_of_touch(at - STABILIZATION_S, at, nodes[request_id])]
+            counted += len(in_touch) > len(refused) / 2
+        if counted > FALLS_MAX + FALLS_PER_ENGINE * len(cluster.engines):
+            violations.append(f"brittle engines: {counted} of {len(period.falls)} falls count")
+    return violations
+
+
 def check_deadlines(cluster, calls):
     """Requests that reach their deadline are answered at the deadline, up to a small share of late ones."""
     limit = callers.DEADLINE_MS / 1000
@@ -170,8 +208,9 @@
                 runs.append(OrderRun(holder, at))
             runs[-1].end = at
         for before, after in zip(runs, runs[2:]):
-            if before.holder == after.holder and after.begin - before.end < world.LEASE_S and not cluster.disturbed(
-                    before.end - STABILIZATION_S, after.begin):
+            begin, end = before.end - STABILIZATION_S, after.begin
+            if before.holder == after.holder and after.begin - before.end < world.LEASE_S and not (
+                    cluster.disturbed(begin, end) or cluster.partitioned(begin, end)):
                 violations.append(f"turns: {before.holder} and another node both ordered {engine.label}")
     return violations
 
@@ -222,6 +261,7 @@
         links = [upstream.link.disturbances for upstream in cluster.upstreams]
         disturbances = [cluster.store_disturbances, call.node.store_link.disturbances, *links]
         disturbances += [item for node in others for item in (node.disturbances, node.store_link.disturbances)]
+        disturbances += [node.partitions for node in cluster.nodes]
         crashed = any(service.failure_mode for service in cluster.services)
         if not crashed and not any(item.overlaps(call.begin - STABILIZATION_S, call.end) for item in disturbances):
             violations.append(f"truncated: {call.id} {call.kind} was cut off by the shutdown of {call.node.name}")
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -24,6 +24,7 @@
 
 # Seeds that failed before, with the cause of the failure.
 REGRESSION_SEEDS = {
+    5: "crashes of engines on requests that a peer relays were not recorded",
     6: "broken connections to live upstreams counted as crashes: all nodes refused a request that many callers send",
 }
 RECOVERY_LIMIT_S = 15.0
@@ -41,7 +42,7 @@
             (self.harm_store_link, 4), (self.store_down, 1), (self.crash_engine, 3), (self.drain_engine, 2),
             (self.slow_engine, 2), (self.failing_service, 2), (self.new_configuration, 3), (self.new_version, 2),
             (self.kill_all, 1), (self.restore_store, 3), (self.limit_upstream, 3), (self.crash_on_part, 2),
-            (self.spoil_answers, 4)]
+            (self.spoil_answers, 4), (self.partition_nodes, 3), (self.make_engines_brittle, 2), (self.silence_engine, 3)]
 
     def step(self):
         """Ends the faults that are due and injects one to three faults of one kind."""
@@ -130,6 +131,23 @@
         upstream.name_limit(self.rng.choice([0.5, 1.0, 2.5, 6.0]))
         self.end_after(self.rng.uniform(5.0, 12.0), upstream.end_limit)
 
+    def partition_nodes(self):
+        """Cuts the links of some nodes to all upstreams."""
+        whole = [node for node in self.cluster.nodes if node.view and not node.partitions.active_count]
+        if whole:
+            chosen = self.rng.sample(whole, self.rng.randint(1, len(whole)))
+            partition = world.Partition(chosen, self.rng.choice(["hang", "reset", "refuse"]))
+            self.cluster.partitions.append(partition)
+            self.end_after(self.rng.uniform(1.0, 8.0), partition.heal)
+
+    def make_engines_brittle(self):
+        if not self.cluster.engines[0].brittle_period:
+            self.cluster.begin_brittle_period()
+            self.end_after(self.rng.uniform(5.0, 10.0), self.cluster.end_brittle_period)
+
+    def silence_engine(self):
+        self.rng.choice(self.cluster.engines).fall_silent(self.rng.uniform(0.5, 1.5))
+
     def slow_engine(self):
         engine = self.rng.choice(self.cluster.engines)
         engine.event_interval_s = 0.3
--- a/test/soak/upstreams.py
+++ b/test/soak/upstreams.py
@@ -25,6 +25,13 @@
 ANSWER_FAULTS = ("half_event", "unframed", "unframed_half_event", "unframed_empty", "endless", "second_copy", "trickle")
 ANSWER_FAULT_SHARE = 0.3
 SOFTWARE_VERSIONS = ("v1", "v2")
+# A brittle engine lets fewer requests in some time after it has begun to say so, and falls over after more refusals.
+BRITTLE_DELAY_S = 3.0
+BRITTLE_ROOM = 2
+BRITTLE_REFUSALS_PER_S = 5
+BRITTLE_EVENT_INTERVAL_S = 0.1
+FALL_S = 1.0
+SILENCE_POLL_S = 0.02
 
 
 def chunk(data):
@@ -90,6 +97,9 @@
         self.runs, self.unloading = collections.Counter(), set()
         self.answer_fault, self.rng = "", random.Random(number)
         self.order_times = []
+        # Nothing unless the engine is brittle; refusals for want of room within a second, with the ids of the requests.
+        self.brittle_period, self.refusals = None, collections.deque()
+        self.silent_until = 0.0
         standin.Engine.__init__(self, cluster.store, f"i-{number}", f"z{number % 2}", slots=3)
         self.event_interval_s = EVENT_INTERVAL_S
 
@@ -167,6 +177,8 @@
         if not self.running:
             handler.close_connection = True
             return
+        if handler.path.startswith("/-/"):
+            self.wait_while_silent()
         with self.lock:
             self.finish_loads()
         if handler.path == "/-/report":
@@ -182,10 +194,14 @@
             can_serve = (handler.headers.get("X-Expect-Instance") == self.name and adapter in self.resident and
                          adapter not in self.unloading)
             version = self.resident.get(adapter)
-            self.runs[adapter] += 1 if can_serve else 0
+            has_room = self.has_room()
+            self.runs[adapter] += 1 if can_serve and has_room else 0
         if not can_serve:
             handler.reply(421, headers={"X-Instance-Id": self.name, "X-Attempt-Id": request_id, **self.statements()})
             return
+        if not has_room:
+            self.refuse_for_room(handler, request_id)
+            return
         self.record_execution(request_id, handler.path)
         try:
             if parts & self.cluster.crashing_parts:
@@ -195,6 +211,44 @@
         finally:
             self.end_run(adapter)
 
+    def statements(self):
+        fields = super().statements()
+        if self.brittle_period:
+            fields["Server-Brittle"] = str(BRITTLE_REFUSALS_PER_S)
+        return fields
+
+    def has_room(self):
+        """Returns whether the engine admits a request; only a brittle engine limits them."""
+        period = self.brittle_period
+        return (not period or time.monotonic() < period.begin + BRITTLE_DELAY_S or
+                sum(self.runs.values()) < BRITTLE_ROOM)
+
+    def refuse_for_room(self, handler, request_id):
+        """Refuses a request for want of room; falls over after too many refusals within a second."""
+        now, period = time.monotonic(), self.brittle_period
+        with self.lock:
+            self.refusals.append((now, request_id))
+            while self.refusals[0][0] <= now - 1.0:
+                self.refusals.popleft()
+            if period and self.running and len(self.refusals) > BRITTLE_REFUSALS_PER_S:
+                period.falls.append((now, [refused for _, refused in self.refusals]))
+                self.refusals.clear()
+                self.crash(same_id=True)
+                self.cluster.call_later(FALL_S, self.restart)
+        handler.reply(503, headers={"X-Not-Executed": "1", "X-Attempt-Id": request_id, **self.statements()})
+
+    def fall_silent(self, seconds):
+        """Sends nothing for some time, and goes on."""
+        self.silent_until = time.monotonic() + seconds
+
+    def wait_while_silent(self):
+        while time.monotonic() < self.silent_until:
+            time.sleep(SILENCE_POLL_S)
+
+    def pause_between_events(self):
+        time.sleep(max(self.event_interval_s, BRITTLE_EVENT_INTERVAL_S if self.brittle_period else 0.0))
+        self.wait_while_silent()
+
     def crash_on_request(self, handler, request_id):
         """Crashes for PART_CRASH_S, as each engine does that begins to answer a request with a crashing part."""
         handler.close_connection = True
@@ -228,6 +282,7 @@
             handler.close_connection = True
         sent = [("HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items()) +
                  "\r\n").encode()]
+        self.wait_while_silent()
         handler.wfile.write(sent[0])
         if fault == "unframed_empty":
             return False
@@ -243,7 +298,7 @@
             sent.append(chunk(event) if framed else event)
             handler.wfile.write(sent[-1])
             handler.wfile.flush()
-            time.sleep(self.event_interval_s)
+            self.pause_between_events()
             if fault in ("endless", "trickle") and number == 2:
                 self.send_without_end(handler, ENDLESS_PIECE if fault == "endless" else b"x",
                                       0.0 if fault == "endless" else EVENT_INTERVAL_S)
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -4,13 +4,14 @@
 import http.client
 import json
 import signal
-import socket
 import subprocess
 import threading
 import time
 
 import links
 import upstreams
+from addresses import free_ports, node_address
+from engine_link import LinkLoop, StoreView
 
 TIMEOUT_MS = 5_000
 STOP_LIMIT_S = 8.0
@@ -21,18 +22,8 @@
 RETRY_SLACK = 50
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10
-
-
-def free_ports(count):
-    """Returns distinct free ports of 127.0.0.1; other processes may take them before they are used."""
-    probes = [socket.socket() for _ in range(count)]
-    try:
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname()[1] for probe in probes]
-    finally:
-        for probe in probes:
-            probe.close()
+# One node in so many cannot be partitioned from the upstreams, so that there is a relay.
+NODES_PER_RELAY = 4
 
 
 class Node:
@@ -42,13 +33,16 @@
     """
 
     def __init__(self, cluster, number):
-        self.cluster, self.name, self.ip = cluster, f"n{number}", f"127.0.1.{number + 1}"
-        self.store_link = links.FaultLink(f"store-link-{number}", cluster.store.address, cluster.directory)
-        self.disturbances = links.Disturbances()
+        self.cluster, self.name, self.ip = cluster, f"n{number}", node_address(number + 1)
+        # The store with this node's own links to the upstreams; none for a node that is never partitioned.
+        self.view = cluster.create_view() if (number + 1) % NODES_PER_RELAY else None
+        store = self.view or cluster.store
+        self.store_link = links.FaultLink(f"store-link-{number}", store.address, cluster.directory)
+        self.disturbances, self.partitions = links.Disturbances(), links.Disturbances()
         self.shutdown_failures = []
         self.sigterm_times = []
         self.state = "none"
-        seeds = json.dumps([f"127.0.1.{other + 1}:1" for other in range(min(3, cluster.node_count))])
+        seeds = json.dumps([f"{node_address(other + 1)}:1" for other in range(min(3, cluster.node_count))])
         ports = cluster.ports
         self.settings = cluster.directory / f"{self.name}-settings.json"
         self.settings.write_text(f"""// Settings of the soak.
@@ -86,6 +80,15 @@
         self.state = "running"
         self.disturbances.end()
 
+    def partition(self, how):
+        """Cuts the links to all upstreams."""
+        self.partitions.begin()
+        self.view.cut(how)
+
+    def heal(self):
+        self.view.heal()
+        self.partitions.end()
+
     def terminate(self):
         self.sigterm_times.append(time.monotonic())
         self.begin_disturbance("stopping")
@@ -108,6 +111,30 @@
             self.process.kill()
         self.process.wait()
         self.store_link.close()
+        if self.view:
+            self.view.shutdown()
+            self.view.server_close()
+
+
+class Partition:
+    """A time in which some nodes reach no upstream."""
+
+    def __init__(self, nodes, how):
+        self.nodes, self.begin, self.end = nodes, time.monotonic(), None
+        for node in nodes:
+            node.partition(how)
+
+    def heal(self):
+        for node in self.nodes:
+            node.heal()
+        self.end = time.monotonic()
+
+
+class BrittlePeriod:
+    """A time in which the engines state that they are brittle, with the falls of engines and what they refused before."""
+
+    def __init__(self):
+        self.begin, self.falls = time.monotonic(), []
 
 
 class Cluster:
@@ -127,6 +154,7 @@
         self.unmarked_ends = set()
         # When requests with a crashing part reached an engine, with their ids, and when engines crashed on them.
         self.part_arrivals, self.part_crash_times = [], []
+        self.node_links, self.partitions, self.brittle_periods = LinkLoop(), [], []
 
     @property
     def upstreams(self):
@@ -147,6 +175,13 @@
                 raise RuntimeError(f"the nodes are not ready after {START_LIMIT_S} s; logs in {self.directory}")
             time.sleep(0.1)
 
+    def create_view(self):
+        """Returns the store as one node sees it, with links of its own to all upstreams."""
+        view = StoreView(self.store, self.node_links, [upstream.link.address for upstream in self.upstreams])
+        for upstream, link in zip(self.upstreams, view.links):
+            upstream.link.node_links.append(link)
+        return view
+
     def is_ready(self, node):
         """Returns whether the readiness endpoint of a node answers 200."""
         connection = http.client.HTTPConnection(node.ip, self.ports[1], timeout=2)
@@ -238,6 +273,7 @@
     def restore(self):
         """Ends the store outage, restarts crashed engines and replaces draining ones."""
         self.store.unavailable = False
+        self.end_brittle_period()
         for upstream in self.upstreams:
             upstream.end_limit()
         self.crashing_parts.clear()
@@ -247,6 +283,16 @@
             if engine.state != "ready" or engine.states_leaving:
                 engine.replace()
 
+    def begin_brittle_period(self):
+        """Lets all engines state that they are brittle."""
+        self.brittle_periods.append(BrittlePeriod())
+        for engine in self.engines:
+            engine.brittle_period = self.brittle_periods[-1]
+
+    def end_brittle_period(self):
+        for engine in self.engines:
+            engine.brittle_period = None
+
     def count_serving(self, version):
         """Returns the number of engines that take requests at a software version."""
         return sum(engine.running and engine.state == "ready" and not engine.states_leaving and
@@ -257,6 +303,10 @@
         return any(item.overlaps(begin, end) for item in
                    (self.store_disturbances, node.disturbances, node.store_link.disturbances))
 
+    def partitioned(self, begin, end):
+        """Returns whether a node was partitioned from the upstreams."""
+        return any(node.partitions.overlaps(begin, end) for node in self.nodes)
+
     def disturbed(self, begin, end, node=None):
         """Returns whether a fault affected the store, an upstream link or the node (any node without `node`)."""
         nodes = [node] if node else self.nodes
@@ -270,6 +320,7 @@
             timer.cancel()
         for node in self.nodes:
             node.close()
+        self.node_links.stop()
         for upstream in self.upstreams:
             upstream.link.close()
             upstream.shutdown()
