core: one function that listens on an address, used by four servers

The HTTP server, the peer server, the relay and the fault proxy opened their acceptors with the same twenty lines each.

--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <unordered_map>
 
+#include <lagoonsaddle/core/tcp_listener.hpp>
 #include <lagoonsaddle/http/internal_beast.hpp>
 #include <lagoonsaddle/http/json.hpp>
 #include <lagoonsaddle/http/server.hpp>
@@ -313,27 +314,12 @@
 }
 
 core::result<void> server::start() {
-    boost::system::error_code failure{};
-    const auto address = asio::ip::make_address(this->shared->options.listen.address, failure);
-    const tcp::endpoint local{address, this->shared->options.listen.port};
     auto& acceptor = this->shared->acceptor;
-    if(!failure) {
-        acceptor.open(local.protocol(), failure);
+    const auto port = core::listen(acceptor, this->shared->options.listen);
+    if(!port) {
+        return tl::make_unexpected(port.error());
     }
-    if(!failure) {
-        acceptor.set_option(tcp::acceptor::reuse_address{true}, failure);
-    }
-    if(!failure) {
-        acceptor.bind(local, failure);
-    }
-    if(!failure) {
-        acceptor.listen(asio::socket_base::max_listen_connections, failure);
-    }
-    if(failure) {
-        return core::fail(core::reason::unavailable,
-            "cannot listen on " + core::to_string(this->shared->options.listen) + ": " + failure.message());
-    }
-    this->shared->bound_port = acceptor.local_endpoint(failure).port();
+    this->shared->bound_port = *port;
 
     asio::co_spawn(
         acceptor.get_executor(),
--- a/src/lagoonsaddle/relay/relay_server.cpp
+++ b/src/lagoonsaddle/relay/relay_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <lagoonsaddle/core/tcp_listener.hpp>
 #include <lagoonsaddle/core/tcp_options.hpp>
 #include <lagoonsaddle/relay/relay_server.hpp>
 
@@ -232,27 +233,11 @@
 };
 
 core::result<void> relay_server::state::start() {
-    boost::system::error_code failure{};
-    const auto address = asio::ip::make_address(this->settings.listen.address, failure);
-    const tcp::endpoint local{address, this->settings.listen.port};
-    if(!failure) {
-        this->acceptor.open(local.protocol(), failure);
-    }
-    if(!failure) {
-        this->acceptor.set_option(tcp::acceptor::reuse_address{true}, failure);
-    }
-    if(!failure) {
-        this->acceptor.bind(local, failure);
-    }
-    if(!failure) {
-        this->acceptor.listen(asio::socket_base::max_listen_connections, failure);
-    }
-    if(failure) {
-        return core::fail(core::reason::unavailable, "cannot listen for relayed connections on " +
-                                                         core::to_string(this->settings.listen) + ": " +
-                                                         failure.message());
+    const auto port = core::listen(this->acceptor, this->settings.listen, "relayed connections");
+    if(!port) {
+        return tl::make_unexpected(port.error());
     }
-    this->bound_port = this->acceptor.local_endpoint(failure).port();
+    this->bound_port = *port;
     asio::co_spawn(
         this->context, [self = this->shared_from_this()] { return self->accept_connections(); }, asio::detached);
     return {};
--- a/src/lagoonsaddle/standins/fault_proxy.cpp
+++ b/src/lagoonsaddle/standins/fault_proxy.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <lagoonsaddle/core/tcp_listener.hpp>
 #include <lagoonsaddle/standins/fault_proxy.hpp>
 #include <lagoonsaddle/standins/wakeup.hpp>
 
@@ -204,26 +205,12 @@
 
 core::result<void> fault_proxy::start() {
     const std::lock_guard lock{this->mutex};
-    boost::system::error_code failure{};
-    const auto local = tcp_endpoint(this->address, failure);
     const auto listener = std::make_shared<tcp::acceptor>(asio::make_strand(this->context));
-    if(!failure) {
-        listener->open(local.protocol(), failure);
+    const auto port = core::listen(*listener, this->address);
+    if(!port) {
+        return tl::make_unexpected(port.error());
     }
-    if(!failure) {
-        listener->set_option(tcp::acceptor::reuse_address{true}, failure);
-    }
-    if(!failure) {
-        listener->bind(local, failure);
-    }
-    if(!failure) {
-        listener->listen(asio::socket_base::max_listen_connections, failure);
-    }
-    if(failure) {
-        return core::fail(
-            core::reason::unavailable, "cannot listen on " + core::to_string(this->address) + ": " + failure.message());
-    }
-    this->address.port = listener->local_endpoint(failure).port();
+    this->address.port = *port;
     this->acceptor = listener;
     asio::co_spawn(listener->get_executor(), this->accept(listener), asio::detached);
     return {};
--- a/src/lagoonsaddle/wire/peer_server.cpp
+++ b/src/lagoonsaddle/wire/peer_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include <lagoonsaddle/core/tcp_listener.hpp>
 #include <lagoonsaddle/wire/cancel_signal.hpp>
 #include <lagoonsaddle/wire/codec.hpp>
 #include <lagoonsaddle/wire/internal_link.hpp>
@@ -159,26 +160,11 @@
 };
 
 core::result<void> peer_server::state::start() {
-    boost::system::error_code failure{};
-    const auto address = asio::ip::make_address(this->listen.address, failure);
-    const tcp::endpoint local{address, this->listen.port};
-    if(!failure) {
-        this->acceptor.open(local.protocol(), failure);
+    const auto port = core::listen(this->acceptor, this->listen, "peers");
+    if(!port) {
+        return tl::make_unexpected(port.error());
     }
-    if(!failure) {
-        this->acceptor.set_option(tcp::acceptor::reuse_address{true}, failure);
-    }
-    if(!failure) {
-        this->acceptor.bind(local, failure);
-    }
-    if(!failure) {
-        this->acceptor.listen(asio::socket_base::max_listen_connections, failure);
-    }
-    if(failure) {
-        return core::fail(core::reason::unavailable,
-            "cannot listen for peers on " + core::to_string(this->listen) + ": " + failure.message());
-    }
-    this->bound_port = this->acceptor.local_endpoint(failure).port();
+    this->bound_port = *port;
     asio::co_spawn(
         this->acceptor.get_executor(),
         [self = this->shared_from_this()]() -> asio::awaitable<void> { co_await self->accept_connections(); },
