--- a/src/lagoonsaddle/edge/concurrency_limit.cpp
+++ b/src/lagoonsaddle/edge/concurrency_limit.cpp
@@ -24,32 +24,32 @@
 }
 
 std::size_t concurrency_limit::refusals_until_pause() const noexcept {
-    const auto borne = static_cast<double>(this->refusals_borne.value_or(1u));
-    return std::max<std::size_t>(1u, static_cast<std::size_t>(borne * this->settings.refusal_share));
+    const auto tolerated = static_cast<double>(this->refusals_tolerated.value_or(1u));
+    return std::max<std::size_t>(1u, static_cast<std::size_t>(tolerated * this->settings.refusal_share));
 }
 
 bool concurrency_limit::observe(std::optional<unsigned> stated, core::time_point sent_at, core::time_point now) {
-    const bool may_be_outdated = this->refusals_borne && sent_at < this->stated_at + response_overlap;
+    const bool may_be_outdated = this->refusals_tolerated && sent_at < this->stated_at + response_overlap;
     if(!stated && may_be_outdated) {
         return false;
     }
     if(stated) {
         this->stated_at = now;
     }
-    if(stated == this->refusals_borne) {
+    if(stated == this->refusals_tolerated) {
         return false;
     }
     if(!stated) {
         *this = concurrency_limit{this->settings};
     }
-    this->refusals_borne = stated;
+    this->refusals_tolerated = stated;
     return true;
 }
 
 void concurrency_limit::record_restart() {
-    const auto [stated, since] = std::pair{this->refusals_borne, this->stated_at};
+    const auto [stated, since] = std::pair{this->refusals_tolerated, this->stated_at};
     *this = concurrency_limit{this->settings};
-    this->refusals_borne = stated;
+    this->refusals_tolerated = stated;
     this->stated_at = since;
 }
 
@@ -72,7 +72,7 @@
 }
 
 std::optional<room_refusal> concurrency_limit::record_refusal(room_refusal refusal, core::time_point now) {
-    if(!this->refusals_borne) {
+    if(!this->refusals_tolerated) {
         return std::nullopt;
     }
     refusal.growth = this->growth_sent_at && now - *this->growth_sent_at < this->settings.refusal_delay;
@@ -82,7 +82,7 @@
 }
 
 void concurrency_limit::record_peer_refusal(const room_refusal& refusal, core::time_point now) {
-    if(this->refusals_borne) {
+    if(this->refusals_tolerated) {
         this->apply_refusal(refusal, now);
     }
 }
@@ -101,7 +101,7 @@
 }
 
 std::optional<core::duration> concurrency_limit::wait_time(unsigned in_flight, core::time_point now) const {
-    if(!this->refusals_borne) {
+    if(!this->refusals_tolerated) {
         return core::duration{};
     }
     auto next = std::max(this->paused_until, now);
--- a/src/lagoonsaddle/edge/concurrency_limit.hpp
+++ b/src/lagoonsaddle/edge/concurrency_limit.hpp
@@ -14,7 +14,7 @@
 struct concurrency_limit_options {
     /*! @brief Time between two sends of a node, in which a refusal of the first one becomes known. */
     core::duration send_interval{std::chrono::milliseconds{20}};
-    /*! @brief Share of the refusals that the upstream bears after which all nodes pause. */
+    /*! @brief Share of the tolerated refusals after which all nodes pause. */
     double refusal_share{0.6};
     /*! @brief Time in which all nodes together try once whether the upstream has more room. */
     core::duration growth_interval{std::chrono::milliseconds{1'000}};
@@ -41,11 +41,11 @@
 /**
  * @brief Limits the requests that one node has in progress on an upstream that falls over when it has to refuse many.
  *
- * Such an upstream states how many refusals per second it bears from all nodes together. When it refuses one for want
- * of room, it is full with what all nodes have in progress there: each node then keeps to its own number of these, so
- * that a request is sent when another one ends. A node exceeds its number by one from time to time, to find out whether
- * there is more room. When there were many refusals within a second, all nodes pause. Before the first refusal sends
- * are only spaced. Does not limit upstreams that state nothing. Not thread-safe.
+ * Such an upstream states how many refusals per second it tolerates from all nodes together. When it refuses one for
+ * want of room, it is full with what all nodes have in progress there: each node then keeps to its own number of these,
+ * so that a request is sent when another one ends. A node exceeds its number by one from time to time, to find out
+ * whether there is more room. When there were many refusals within a second, all nodes pause. Before the first refusal
+ * sends are only spaced. Does not limit upstreams that state nothing. Not thread-safe.
  */
 class concurrency_limit {
 public:
@@ -53,21 +53,21 @@
 
     /**
      * @brief Applies what a response states.
-     * @param refusals_per_second Refusals that the upstream bears, or nothing when the response states none.
+     * @param refusals_per_second Refusals that the upstream tolerates, or nothing when the response states none.
      * @param sent_at When the request was sent: a response to an earlier one may not show a newer statement.
      * @param now Current time.
      * @return True when the statement has changed.
      */
     bool observe(std::optional<unsigned> refusals_per_second, core::time_point sent_at, core::time_point now);
 
-    /*! @brief Forgets what was in progress; an upstream that starts again is assumed to bear as few refusals. */
+    /*! @brief Forgets what was in progress; an upstream that starts again is assumed to tolerate as few refusals. */
     void record_restart();
 
     /**
      * @brief Records a refusal of a request of this node; `growth` is set by this function.
      * @param refusal The refusal.
      * @param now Current time.
-     * @return The refusal to tell the other nodes of, or nothing when the upstream bears any number.
+     * @return The refusal to tell the other nodes of, or nothing when the upstream tolerates any number.
      */
     std::optional<room_refusal> record_refusal(room_refusal refusal, core::time_point now);
 
@@ -85,9 +85,9 @@
      */
     [[nodiscard]] std::optional<core::duration> wait_time(unsigned in_flight, core::time_point now) const;
 
-    /*! @brief Returns how many refusals per second the upstream bears; nothing when it states none. */
+    /*! @brief Returns how many refusals per second the upstream tolerates; nothing when it states none. */
     [[nodiscard]] std::optional<unsigned> refusals_per_second() const noexcept {
-        return this->refusals_borne;
+        return this->refusals_tolerated;
     }
 
     /*! @brief Returns whether the upstream has refused so many requests recently that it may have fallen over. */
@@ -99,8 +99,8 @@
     [[nodiscard]] std::size_t refusals_until_pause() const noexcept;
 
     concurrency_limit_options settings;
-    /*! @brief Refusals per second that the upstream bears; nothing when it states none. */
-    std::optional<unsigned> refusals_borne{};
+    /*! @brief Refusals per second that the upstream tolerates; nothing when it states none. */
+    std::optional<unsigned> refusals_tolerated{};
     core::time_point stated_at{};
     /*! @brief Requests that may be in progress; nothing before the first refusal. */
     std::optional<unsigned> limit{};
--- a/src/lagoonsaddle/edge/types.hpp
+++ b/src/lagoonsaddle/edge/types.hpp
@@ -152,7 +152,7 @@
     bool leaving{};
     /*! @brief Requests per second that the upstream takes from all nodes together; nothing when it names no limit. */
     std::optional<double> rate_limit{};
-    /*! @brief Refusals per second for want of room that the upstream bears from all nodes together, beyond which it
+    /*! @brief Refusals per second for want of room that the upstream tolerates from all nodes together, beyond which it
      * falls over; nothing when it states none. */
     std::optional<unsigned> refusal_limit{};
     /*! @brief Versions of the weights that served the request; empty when not stated. */
--- a/src/lagoonsaddle/edge/upstream_limits.hpp
+++ b/src/lagoonsaddle/edge/upstream_limits.hpp
@@ -29,8 +29,8 @@
 /**
  * @brief Keeps the requests of this node within its share of the limits that upstreams name.
  *
- * A node that observes a limit, or its end, announces it to all nodes. A refusal by an upstream that bears few of them
- * is told to all peers at once. Must only be used from the thread that runs the `io_context`.
+ * A node that observes a limit, or its end, announces it to all nodes. A refusal by an upstream that tolerates few of
+ * them is told to all peers at once. Must only be used from the thread that runs the `io_context`.
  */
 class upstream_limits {
 public:
@@ -39,7 +39,7 @@
     /*! @brief Applies the limit that a response states, or its end, to the upstream. */
     void observe(const std::string& upstream, std::optional<double> per_second, core::time_point sent_at);
 
-    /*! @brief Applies how many refusals a response states that the upstream bears, or that it states no limit. */
+    /*! @brief Applies how many refusals a response states that the upstream tolerates, or that it states no limit. */
     void observe_refusal_limit(
         const std::string& upstream, std::optional<unsigned> refusals_per_second, core::time_point sent_at);
 
--- a/test/edge/concurrency_limit_test.cpp
+++ b/test/edge/concurrency_limit_test.cpp
@@ -16,7 +16,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr unsigned refusals_borne{5u};
+constexpr unsigned refusals_tolerated{5u};
 
 struct concurrency_limit_fixture {
     [[nodiscard]] bool may_send(unsigned in_flight) const {
@@ -36,7 +36,7 @@
 public:
     simulated_fleet(std::size_t node_count, std::uint32_t seed) : nodes(node_count), random{seed} {
         for(auto& node : this->nodes) {
-            node.limit.observe(refusals_borne, this->now, this->now);
+            node.limit.observe(refusals_tolerated, this->now, this->now);
         }
     }
 
@@ -114,7 +114,7 @@
         while(!this->running.empty() && this->running.front().done_at <= this->now) {
             auto& node = this->nodes[this->running.front().node];
             --node.in_flight;
-            node.limit.observe(refusals_borne, this->now, this->now);
+            node.limit.observe(refusals_tolerated, this->now, this->now);
             this->running.pop_front();
             ++this->finished;
         }
@@ -153,7 +153,7 @@
 TEST_CASE_FIXTURE(concurrency_limit_fixture, "wait_time_without_statement_is_zero") {
     CHECK_FALSE(this->limit.record_refusal({.in_flight = 3u, .nodes = 3u}, this->now).has_value());
     CHECK(this->may_send(100u));
-    CHECK(this->limit.observe(refusals_borne, this->now, this->now));
+    CHECK(this->limit.observe(refusals_tolerated, this->now, this->now));
     CHECK(this->limit.record_refusal({.in_flight = 3u, .nodes = 3u}, this->now).has_value());
     CHECK_FALSE(this->may_send(4u));
     CHECK_FALSE(this->limit.observe(std::nullopt, this->now, this->now));
@@ -164,7 +164,7 @@
 
 // Guards against more requests in progress than there was room for, and against room that is never used again.
 TEST_CASE_FIXTURE(concurrency_limit_fixture, "wait_time_after_refusal_replaces_requests_and_grows_by_one") {
-    this->limit.observe(refusals_borne, this->now, this->now);
+    this->limit.observe(refusals_tolerated, this->now, this->now);
     CHECK(this->limit.record_refusal({.in_flight = 4u, .nodes = 3u, .jitter = 1.0}, this->now)->growth == false);
     CHECK(this->may_send(3u));
     CHECK_FALSE(this->may_send(4u));
@@ -180,7 +180,7 @@
 
 // Guards against a limit that shrinks because a request asked in vain whether there is more room.
 TEST_CASE_FIXTURE(concurrency_limit_fixture, "record_refusal_of_growth_keeps_limit") {
-    this->limit.observe(refusals_borne, this->now, this->now);
+    this->limit.observe(refusals_tolerated, this->now, this->now);
     CHECK(this->limit.record_refusal({.in_flight = 4u, .nodes = 1u}, this->now).has_value());
     CHECK(this->may_send(4u));
     this->limit.record_send(4u, this->now);
@@ -192,7 +192,7 @@
 
 // Guards against an upstream that falls over because of one refusal after the other.
 TEST_CASE_FIXTURE(concurrency_limit_fixture, "wait_time_many_refusals_of_all_nodes_pauses") {
-    this->limit.observe(refusals_borne, this->now, this->now);
+    this->limit.observe(refusals_tolerated, this->now, this->now);
     this->limit.record_peer_refusal({.in_flight = 4u, .nodes = 3u}, this->now);
     this->pass(600ms);
     CHECK(this->may_send(3u));
@@ -205,13 +205,13 @@
 
 // Guards against an upstream that is full at once after its restart, and against a new one that stays limited.
 TEST_CASE_FIXTURE(concurrency_limit_fixture, "record_restart_keeps_statement_and_forgets_refusals") {
-    this->limit.observe(refusals_borne, this->now, this->now);
+    this->limit.observe(refusals_tolerated, this->now, this->now);
     for(int repetition{}; repetition < 3; ++repetition) {
         this->limit.record_peer_refusal({.in_flight = 0u, .nodes = 3u}, this->now);
     }
     CHECK_FALSE(this->may_send(0u));
     this->limit.record_restart();
-    CHECK(this->limit.refusals_per_second() == refusals_borne);
+    CHECK(this->limit.refusals_per_second() == refusals_tolerated);
     CHECK(this->may_send(8u));
     this->pass(1s);
     CHECK(this->limit.observe(std::nullopt, this->now, this->now));
@@ -221,7 +221,7 @@
 // Guards against a crash that is blamed on a request when refusals made the upstream fall over, and against one that
 // goes unnoticed after a single refusal.
 TEST_CASE_FIXTURE(concurrency_limit_fixture, "may_have_fallen_over_after_many_refusals_is_true") {
-    this->limit.observe(refusals_borne, this->now, this->now);
+    this->limit.observe(refusals_tolerated, this->now, this->now);
     this->limit.record_peer_refusal({.nodes = 3u}, this->now);
     CHECK_FALSE(this->limit.may_have_fallen_over(this->now));
     this->limit.record_peer_refusal({.nodes = 3u}, this->now);
@@ -231,8 +231,8 @@
     CHECK_FALSE(this->limit.may_have_fallen_over(this->now));
 }
 
-// Guards against nodes that together make an upstream refuse more than it bears, also when it lets fewer wait without a
-// word, and against nodes that leave it idle.
+// Guards against nodes that together make an upstream refuse more than it tolerates, also when it lets fewer wait
+// without a word, and against nodes that leave it idle.
 TEST_CASE("concurrency_limit_overloaded_fleet_keeps_refusals_within_bound_and_upstream_busy") {
     for(const std::size_t nodes : {1u, 3u, 9u, 30u}) {
         for(const double load : {2.0, 4.0, 10.0}) {
@@ -245,7 +245,7 @@
                 fleet.run(5s, load * possible_per_ms);
                 fleet.waiting_max = 1u;
                 fleet.run(20s, load * possible_per_ms);
-                CHECK(fleet.most_refusals_in_a_second() <= refusals_borne);
+                CHECK(fleet.most_refusals_in_a_second() <= refusals_tolerated);
                 CHECK(static_cast<double>(fleet.finished) >= 0.5 * possible_per_ms * 25'000.0);
             }
         }
--- a/test/host_platform/request_format_test.cpp
+++ b/test/host_platform/request_format_test.cpp
@@ -146,7 +146,8 @@
     CHECK_FALSE(format.parse_response_head(200u, {}).rate_limit.has_value());
 }
 
-// Guards against an upstream that is thought to bear any number of refusals, or none, because of an unusual statement.
+// Guards against an upstream that is thought to tolerate any number of refusals, or none, because of an unusual
+// statement.
 TEST_CASE("parse_response_head_refusal_limit_is_read_only_as_whole_number") {
     const request_format format{};
     const auto refusal_limit_of = [&format](const char* value) {
