test: callers of brittle engines run in processes of their own

Trace: the callers shared a Python process with the engines, and kept it at 15 s of processor time in 17.7 s, so that the engines answered late. What is possible was not what the engines could do.

Change: each node's callers run in a process of their own, 129 instead of 128 in all. Bounds, times and load stay.

--- a/test/platform_node/brittle_test.py
+++ b/test/platform_node/brittle_test.py
@@ -1,13 +1,17 @@
 """Tests that nodes together do not make brittle engines refuse so many requests that they fall over."""
 
 import collections
+import concurrent.futures
+import itertools
+import math
+import multiprocessing
 import threading
 import time
 import unittest
 
 import standin
 from engine_link import EngineLink, LinkLoop
-from entry_node_case import EntryNodeCase
+from entry_node_case import EntryNodeCase, send_request
 
 # The rule of the platform: from STABILITY_S after engines began to say that they are brittle, they let fewer wait, and
 # one that refuses more than it has stated in a second falls over; FALLS_MAX and a tenth of the engines may.
@@ -25,6 +29,29 @@
 ANSWERED_SHARE_MIN = 0.5
 
 
+def call_until(address, callers, first_id, end):
+    """Lets callers send requests to one node, each one after the other, until a time; returns when each was answered, and
+    the status."""
+    answers, ids = [], itertools.count(first_id)
+
+    def call():
+        while time.monotonic() < end:
+            try:
+                status = send_request(address, f"{next(ids):016x}", "a0", deadline_ms=4_000)[0]
+            except OSError:
+                status = 0
+            answers.append((time.monotonic(), status))
+            if status != 200:
+                time.sleep(RETURN_S)
+
+    threads = [threading.Thread(target=call) for _ in range(callers)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return answers
+
+
 class BrittleEngine(standin.Engine):
     """An engine that runs and queues a few requests, states how many it may refuse in a second, and falls over."""
 
@@ -99,29 +126,15 @@
     ENGINE_COUNT = 4
     NODE_COUNT = 3
 
-    def call_until(self, callers, end):
-        """Lets callers send requests one after the other until a time; returns when each was answered, and how."""
-        answers, lock = [], threading.Lock()
-
-        def call(node):
-            while time.monotonic() < end:
-                with lock:
-                    request_id = next(self.ids)
-                try:
-                    status = node.send_request(request_id, "a0", deadline_ms=4_000)[0]
-                except OSError:
-                    status = 0
-                answers.append((time.monotonic(), status))
-                if status != 200:
-                    time.sleep(RETURN_S)
-
-        threads = [threading.Thread(target=call, args=(self.nodes[number % len(self.nodes)],))
-                   for number in range(callers)]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        return answers
+    def call_from_processes(self, callers, end):
+        """Lets callers of all nodes call until a time, each node's from a process of their own: in the process of the
+        engines they would slow these down. Returns the answers."""
+        context = multiprocessing.get_context("spawn")
+        with concurrent.futures.ProcessPoolExecutor(len(self.nodes), mp_context=context) as processes:
+            answers = [
+                processes.submit(call_until, (node.ip, self.ports[0]), math.ceil(callers / len(self.nodes)), number << 32, end)
+                for number, node in enumerate(self.nodes, 1)]
+            return [answer for each in answers for answer in each.result()]
 
     def check_falls(self, overload):
         """Sends `overload` times as many requests as the engines have room for."""
@@ -132,7 +145,7 @@
         for engine in self.engines:
             threading.Timer(STABILITY_S, engine.become_brittle).start()
         room = len(self.engines) * (RUNNING_MAX + WAITING_MAX)
-        answers = self.call_until(overload * room, begin + STABILITY_S + MEASURED_S)
+        answers = self.call_from_processes(overload * room, begin + STABILITY_S + MEASURED_S)
         falls = sum(engine.falls for engine in self.engines)
         served = sum(status == 200 and at >= begin + STABILITY_S for at, status in answers)
         possible = len(self.engines) * RUNNING_MAX / WORK_S * MEASURED_S
--- a/test/platform_node/entry_node_case.py
+++ b/test/platform_node/entry_node_case.py
@@ -28,6 +28,21 @@
                   "engine": {"adapterSlots": 2, "loadsPerS": 2, "models": [{"name": "m", "loadS": 1}]}}]}
 
 
+def send_request(address, request_id, adapter, path="/a/1", parts=(), deadline_ms=15000):
+    """Sends a request to a node with a prompt of the given shared parts and one of its own; returns the status and the
+    body, which is None when the body was truncated."""
+    connection = http.client.HTTPConnection(*address, timeout=30)
+    with contextlib.closing(connection):
+        connection.request("POST", path, request_id.encode(), {
+            "Host": "h", "X-Attempt-Id": request_id, "X-Model": f"m/{adapter}", "X-Token-Count": "10,4",
+            "X-Prompt-Prefix": ",".join(f"{part}:5" for part in [*parts, request_id]), "X-Deadline-Ms": str(deadline_ms)})
+        response = connection.getresponse()
+        try:
+            return response.status, response.read().decode()
+        except http.client.IncompleteRead:
+            return response.status, None
+
+
 class Node:
     """An entry node process with its own loopback address."""
 
@@ -72,19 +87,9 @@
         except OSError:
             return False
 
-    def send_request(self, request_id, adapter, path="/a/1", parts=(), deadline_ms=15000):
-        """Sends a request with a prompt of the given shared parts and one of its own; returns the status and the body,
-        which is None when the body was truncated."""
-        connection = http.client.HTTPConnection(self.ip, self.ports[0], timeout=30)
-        with contextlib.closing(connection):
-            connection.request("POST", path, request_id.encode(), {
-                "Host": "h", "X-Attempt-Id": request_id, "X-Model": f"m/{adapter}", "X-Token-Count": "10,4",
-                "X-Prompt-Prefix": ",".join(f"{part}:5" for part in [*parts, request_id]), "X-Deadline-Ms": str(deadline_ms)})
-            response = connection.getresponse()
-            try:
-                return response.status, response.read().decode()
-            except http.client.IncompleteRead:
-                return response.status, None
+    def send_request(self, *arguments, **options):
+        """Calls `send_request` with the caller address of this node."""
+        return send_request((self.ip, self.ports[0]), *arguments, **options)
 
 
 class EntryNodeCase(unittest.TestCase):
