edge: a stream is not taken up at a service whose weight is 0

What callers see: after a change that gives a service of a split route the weight 0, a stream that its caller resumes is run by that service, as only the older version allows (CONFIG). Cause: bind_to_origin looked for the service in the route and not at its weight. Evidence: test_stream_is_not_taken_up_at_service_without_weight, before: 200 by the old service; after: 503, not run. Conclusion: a service goes on with a stream only if it may get new requests of the route.

--- a/src/lagoonsaddle/edge/forwarder_streams.cpp
+++ b/src/lagoonsaddle/edge/forwarder_streams.cpp
@@ -36,8 +36,9 @@
     if(!origin) {
         co_return unknown_version_error(state);
     }
-    const auto& services = state.matched_route->services;
-    if(std::ranges::find(services, origin->service, &weighted_service::name) == services.end()) {
+    const bool allowed = std::ranges::any_of(state.matched_route->services,
+        [&](const weighted_service& share) { return share.name == origin->service && share.weight > 0u; });
+    if(!allowed) {
         co_return core::error{.cause = core::reason::unavailable,
             .verdict = state.verdict,
             .message = "the route no longer leads to the service that began the stream"};
--- a/test/platform_node/software_version_test.py
+++ b/test/platform_node/software_version_test.py
@@ -260,6 +260,18 @@
         self.assert_unmixed(streams)
         self.assert_share_resumed(streams)
 
+    def test_stream_is_not_taken_up_at_service_without_weight(self):
+        """A service that a newer configuration gives no share must run nothing, nor go on with a stream."""
+        self.start_fleet(1)
+        node = self.nodes[0]
+        streams = self.begin_cut_streams(node, 12)
+        *others, resumable = VERSIONED_CONFIGURATION["routes"]
+        moved = {**resumable, "split": [{"service": "llm", "weight": 0}, {"service": "other", "weight": 1}]}
+        self.store.put("config", "main", {**VERSIONED_CONFIGURATION, "version": 2, "routes": [*others, moved]})
+        self.eventually(lambda: "event=configuration version=2" in self.read_log(node), "the change is in force")
+        self.take_up(streams, node)
+        self.assert_refused_at_once(streams)
+
     def test_stream_without_engine_of_its_version_is_refused_at_once(self):
         """When no engine of the version takes requests, the request must be refused as not run, without a wait."""
         self.start_fleet(2)
