edge: a node that hears of a configuration asks its peers and its store at the same time

What callers see: a node whose store falls silent refuses requests for an added route (503) until its call to the store has failed, though peers have the version. Cause: configuration_sync asked the store first and the peers only after that call, and the peers one after the other. Conclusion: neither source waits for the other.

--- a/src/lagoonsaddle/edge/configuration_sync.cpp
+++ b/src/lagoonsaddle/edge/configuration_sync.cpp
@@ -8,12 +8,31 @@
 #include <lagoonsaddle/edge/configuration_codec.hpp>
 #include <lagoonsaddle/edge/configuration_sync.hpp>
 #include <lagoonsaddle/edge/sleep.hpp>
+#include <lagoonsaddle/wire/async_queue.hpp>
 #include <lagoonsaddle/wire/codec.hpp>
 
 namespace lagoonsaddle::edge {
 
 namespace asio = boost::asio;
 
+namespace {
+
+using reply_queue = wire::async_queue<core::result<wire::config_reply>>;
+
+/*! @brief Asks a peer for its configuration. */
+asio::awaitable<void> ask(
+    std::shared_ptr<wire::peer_client> peer, std::chrono::milliseconds timeout, std::shared_ptr<reply_queue> replies) {
+    auto request = wire::pack(wire::config_get{});
+    const auto response = co_await peer->call(wire::message_type::config_get, std::move(request), timeout);
+    if(response) {
+        replies->push(wire::unpack<wire::config_reply>(response->body));
+    } else {
+        replies->push(tl::make_unexpected(response.error()));
+    }
+}
+
+} // namespace
+
 configuration_sync::configuration_sync(
     configuration_sync_context uses, configuration_sync_options options, apply_function receiver)
     : context{uses}, settings{options}, apply{std::move(receiver)}, started{this->context.clock.now()} {}
@@ -34,12 +53,10 @@
 
 void configuration_sync::announce(std::uint64_t version) {
     this->announced_version = std::max(this->announced_version, version);
-    if(this->running || !this->is_behind()) {
-        return;
+    if(this->is_behind()) {
+        this->start(this->reading_store, &configuration_sync::read_store);
+        this->start(this->asking_peers, &configuration_sync::ask_peers);
     }
-    this->running = true;
-    asio::co_spawn(
-        this->context.io, [self = this->shared_from_this()] { return self->catch_up(); }, asio::detached);
 }
 
 wire::config_reply configuration_sync::make_reply() const {
@@ -50,17 +67,24 @@
     return {.version = current->version, .body = pack_configuration(*current)};
 }
 
-asio::awaitable<void> configuration_sync::catch_up() {
+void configuration_sync::start(bool& running, round_type round) {
+    if(std::exchange(running, true)) {
+        return;
+    }
+    asio::co_spawn(
+        this->context.io,
+        [self = this->shared_from_this(), &running, round] { return self->repeat_while_behind(running, round); },
+        asio::detached);
+}
+
+asio::awaitable<void> configuration_sync::repeat_while_behind(bool& running, round_type round) {
     while(this->is_behind()) {
-        co_await this->read_store();
-        if(this->is_behind()) {
-            co_await this->ask_peers();
-        }
+        co_await (this->*round)();
         if(this->is_behind()) {
             co_await sleep_for(this->settings.retry_interval);
         }
     }
-    this->running = false;
+    running = false;
 }
 
 asio::awaitable<void> configuration_sync::read_store() {
@@ -81,27 +105,29 @@
 
 asio::awaitable<void> configuration_sync::ask_peers() {
     const auto peers = this->context.peers.live_peers();
-    for(std::size_t asked{}; asked < std::min(peers.size(), this->settings.peers_per_round); ++asked) {
-        const auto& peer = peers[this->next_peer++ % peers.size()];
-        auto request = wire::pack(wire::config_get{});
-        const auto response =
-            co_await peer->call(wire::message_type::config_get, std::move(request), this->settings.peer_timeout);
-        if(!response) {
-            continue;
-        }
-        const auto reply = wire::unpack<wire::config_reply>(response->body);
-        if(!reply || reply->version <= this->context.routes.version()) {
-            continue;
-        }
-        if(auto value = unpack_configuration(reply->body)) {
-            this->apply(std::move(*value), "peer");
-        }
-        if(!this->is_behind()) {
-            co_return;
+    const auto asked = std::min(peers.size(), this->settings.peers_per_round);
+    const auto replies = std::make_shared<reply_queue>();
+    for(std::size_t count{}; count < asked; ++count) {
+        auto peer = peers[this->next_peer++ % peers.size()];
+        asio::co_spawn(this->context.io, ask(std::move(peer), this->settings.peer_timeout, replies), asio::detached);
+    }
+    for(std::size_t answered{}; answered < asked && this->is_behind(); ++answered) {
+        const auto reply = co_await replies->pop(this->settings.peer_timeout);
+        if(reply && *reply) {
+            this->apply_reply(**reply);
         }
     }
 }
 
+void configuration_sync::apply_reply(const wire::config_reply& reply) {
+    if(reply.version <= this->context.routes.version()) {
+        return;
+    }
+    if(auto value = unpack_configuration(reply.body)) {
+        this->apply(std::move(*value), "peer");
+    }
+}
+
 void configuration_sync::log_behind(std::string_view reason) {
     if(std::exchange(this->logged_version, this->announced_version) == this->announced_version) {
         return;
--- a/src/lagoonsaddle/edge/configuration_sync.hpp
+++ b/src/lagoonsaddle/edge/configuration_sync.hpp
@@ -42,7 +42,7 @@
 
 /*! @brief Options of `configuration_sync`. */
 struct configuration_sync_options {
-    /*! @brief Interval between two rounds of the store and the peers. */
+    /*! @brief Interval between two rounds of the store, or of the peers. */
     std::chrono::milliseconds retry_interval{150};
     std::chrono::milliseconds peer_timeout{300};
     /*! @brief Number of peers that are asked in one round. */
@@ -56,9 +56,10 @@
 /**
  * @brief Obtains the newest configuration that any node knows of.
  *
- * A store that was restored from a copy has an older configuration than the nodes until the operator writes again, so
- * that a version that a peer has announced is read from the store and from the peers until this node has it. Must only
- * be used from the thread that runs the `io_context`.
+ * A store that was restored from a copy has an older configuration than the nodes until the operator writes again, and
+ * one that does not answer holds up whoever waits for it. A version that a peer has announced is therefore read from
+ * the store and from the peers at the same time, until this node has it. Must only be used from the thread that runs
+ * the `io_context`.
  */
 class configuration_sync : public std::enable_shared_from_this<configuration_sync> {
 public:
@@ -82,9 +83,15 @@
 
 private:
     [[nodiscard]] bool is_behind() const noexcept;
-    [[nodiscard]] boost::asio::awaitable<void> catch_up();
+    /*! @brief One attempt to obtain the newest version from a source. */
+    using round_type = boost::asio::awaitable<void> (configuration_sync::*)();
+
+    /*! @brief Repeats rounds until this node is no longer behind, unless they are already running. */
+    void start(bool& running, round_type round);
+    [[nodiscard]] boost::asio::awaitable<void> repeat_while_behind(bool& running, round_type round);
     [[nodiscard]] boost::asio::awaitable<void> read_store();
     [[nodiscard]] boost::asio::awaitable<void> ask_peers();
+    void apply_reply(const wire::config_reply& reply);
     void log_behind(std::string_view reason);
 
     configuration_sync_context context;
@@ -96,7 +103,8 @@
     std::uint64_t logged_version{};
     /*! @brief Position in the list of peers at which the next round begins. */
     std::size_t next_peer{};
-    bool running{false};
+    bool reading_store{false};
+    bool asking_peers{false};
 };
 
 } // namespace lagoonsaddle::edge
--- /dev/null
+++ b/test/platform_node/configuration_test.py
@@ -0,0 +1,62 @@
+"""Tests which configurations come into force on entry nodes, and from where they get them."""
+
+import time
+import unittest
+
+import standin
+from entry_node_case import CONFIGURATION, EntryNodeCase
+
+ROUTE = CONFIGURATION["routes"][0]
+# Time after which a node gives up a call to its store.
+STORE_CALL_TIMEOUT_S = 0.7
+
+
+def configuration(version, *routes):
+    """Returns a configuration with the usual routes and others."""
+    return {**CONFIGURATION, "version": version, "routes": [*CONFIGURATION["routes"], *routes]}
+
+
+class StoreView(standin.Server):
+    """Serves the data of a store, unless it is silent: then it swallows calls."""
+
+    present = staticmethod(standin.Store.present)
+
+    def __init__(self, store):
+        self.store, self.is_silent = store, False
+        super().__init__()
+
+    def respond(self, handler, body):
+        send = handler.reply
+        handler.reply = lambda *arguments: None if self.is_silent else send(*arguments)
+        if not self.is_silent:
+            self.store.respond(handler, body)
+
+
+class AnnouncedConfigurationTest(EntryNodeCase):
+    """Two nodes, of which the second one reaches the store through a view of its own."""
+
+    def store_of_next_node(self):
+        if not self.nodes:
+            return self.store
+        self.view = StoreView(self.store)
+        return self.view
+
+    def tearDown(self):
+        super().tearDown()
+        self.view.shutdown()
+        self.view.server_close()
+
+    def test_node_gets_announced_version_without_wait_for_its_silent_store(self):
+        """A node that hears of a version must get it from a peer before its own call to the store has failed."""
+        self.start_fleet(2)
+        self.view.is_silent = True
+        self.store.put("config", "main", configuration(2, {**ROUTE, "name": "c", "pathPrefix": "/c/"}))
+        first, second = self.nodes
+        self.eventually(lambda: first.send_request(next(self.ids), "a0", "/c/1")[0] == 200, "the peer has the version")
+        begin = time.monotonic()
+        self.eventually(lambda: second.send_request(next(self.ids), "a0", "/c/1")[0] == 200, "the node has the version")
+        self.assertLess(time.monotonic() - begin, STORE_CALL_TIMEOUT_S)
+
+
+if __name__ == "__main__":
+    unittest.main(warnings="ignore")
