edge: an invalid configuration does not come into force, and the log says why

What callers see: a record or a peer's answer whose routes have no host or no service replaces a valid configuration: its routes are answered 404 or refused (CONFIG, an invalid one was taken). Cause: what could be decoded was taken; nothing in the log told that a record was not. Change: check_configuration, for store and peers; event=configuration_refused with version, source and message.

--- a/src/lagoonsaddle/edge/entry_node_records.cpp
+++ b/src/lagoonsaddle/edge/entry_node_records.cpp
@@ -4,6 +4,7 @@
 #include <variant>
 #include <vector>
 
+#include <lagoonsaddle/edge/configuration_check.hpp>
 #include <lagoonsaddle/edge/internal_entry_node.hpp>
 #include <lagoonsaddle/edge/reader_selection.hpp>
 #include <lagoonsaddle/wire/codec.hpp>
@@ -94,7 +95,19 @@
     }
 }
 
+void entry_node::impl::log_refused_configuration(
+    std::uint64_t version, std::string_view source, std::string_view message) {
+    this->log.write(log_line{"configuration_refused"}
+                        .add("version", static_cast<std::int64_t>(version))
+                        .add("source", source)
+                        .add("message", message));
+}
+
 void entry_node::impl::apply_configuration(configuration value, std::string_view source) {
+    if(const auto valid = check_configuration(value); !valid) {
+        this->log_refused_configuration(value.version, source, valid.error().message);
+        return;
+    }
     if(!this->routes.apply(std::move(value))) {
         return;
     }
@@ -147,6 +160,8 @@
         case record_kind::configuration:
             if(const auto* value = std::get_if<configuration>(&change.value)) {
                 this->apply_configuration(*value, "store");
+            } else {
+                this->log_refused_configuration(0u, "store", "the record '" + change.name + "' holds no configuration");
             }
             break;
         case record_kind::upstreams:
--- a/src/lagoonsaddle/edge/internal_entry_node.hpp
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -67,8 +67,10 @@
     /*! @brief Returns the freshness with which this node has to watch the store at present. */
     [[nodiscard]] freshness watch_freshness() const;
     void apply_upstream(const record_change& change);
-    /*! @brief Puts a configuration into force and announces it, unless this node has it or a newer one. */
+    /*! @brief Puts a valid configuration into force and announces it, unless this node has it or a newer one. */
     void apply_configuration(configuration value, std::string_view source);
+    /*! @brief Logs that what was read as a configuration does not come into force; version 0 when it states none. */
+    void log_refused_configuration(std::uint64_t version, std::string_view source, std::string_view message);
     void apply_lease(const record_change& change, std::uint64_t epoch);
     /*! @brief Marks the upstreams that peers have announced as leaving, which the store may not show. */
     void apply_announced_leaving();
--- a/test/platform_node/configuration_test.py
+++ b/test/platform_node/configuration_test.py
@@ -58,5 +58,24 @@
         self.assertLess(time.monotonic() - begin, STORE_CALL_TIMEOUT_S)
 
 
+class ConfigurationContentTest(EntryNodeCase):
+    """One node before a store whose configurations have unusual content."""
+
+    def test_invalid_configuration_leaves_the_last_valid_one_in_force(self):
+        """An invalid configuration must not replace a valid one, nor keep the next one from coming into force."""
+        self.start_fleet(1)
+        node = self.nodes[0]
+        invalid = [configuration(2, {**ROUTE, "host": None}), configuration(3, {**ROUTE, "service": None}),
+                   configuration(4, "route"), {"version": 5, "routes": {}, "services": []}]
+        for number, value in enumerate(invalid, 1):
+            self.store.put("config", "main", value)
+            self.eventually(lambda number=number: self.read_log(node).count("event=configuration_refused") == number,
+                            "the configuration is refused")
+            self.assertTrue(self.is_served(node, "a0"))
+        self.store.put("config", "main", configuration(6, {**ROUTE, "name": "c", "pathPrefix": "/c/"}))
+        self.eventually(lambda: node.send_request(next(self.ids), "a0", "/c/1")[0] == 200, "the valid one is in force")
+        self.assertNotRegex(self.read_log(node), r"event=configuration version=[2-5] ")
+
+
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
--- a/test/platform_node/entry_node_case.py
+++ b/test/platform_node/entry_node_case.py
@@ -29,13 +29,15 @@
 
 
 def send_request(address, request_id, adapter, path="/a/1", parts=(), deadline_ms=15000):
-    """Sends a request to a node with a prompt of the given shared parts and one of its own; returns the status and the
-    body, which is None when the body was truncated."""
+    """Sends a request to a node with a prompt of the given shared parts and one of its own; without a deadline when it
+    is None. Returns the status and the body, which is None when the body was truncated."""
+    headers = {"Host": "h", "X-Attempt-Id": request_id, "X-Model": f"m/{adapter}", "X-Token-Count": "10,4",
+               "X-Prompt-Prefix": ",".join(f"{part}:5" for part in [*parts, request_id])}
+    if deadline_ms is not None:
+        headers["X-Deadline-Ms"] = str(deadline_ms)
     connection = http.client.HTTPConnection(*address, timeout=30)
     with contextlib.closing(connection):
-        connection.request("POST", path, request_id.encode(), {
-            "Host": "h", "X-Attempt-Id": request_id, "X-Model": f"m/{adapter}", "X-Token-Count": "10,4",
-            "X-Prompt-Prefix": ",".join(f"{part}:5" for part in [*parts, request_id]), "X-Deadline-Ms": str(deadline_ms)})
+        connection.request("POST", path, request_id.encode(), headers)
         response = connection.getresponse()
         try:
             return response.status, response.read().decode()
