--- a/test/platform_node/configuration_test.py
+++ b/test/platform_node/configuration_test.py
@@ -76,6 +76,15 @@
         self.eventually(lambda: node.send_request(next(self.ids), "a0", "/c/1")[0] == 200, "the valid one is in force")
         self.assertNotRegex(self.read_log(node), r"event=configuration version=[2-5] ")
 
+    def test_longest_time_of_a_route_leaves_it_served(self):
+        """A time beyond the range of the clock must not end requests before they have begun."""
+        self.start_fleet(1)
+        self.store.put("config", "main", configuration(
+            2, {**ROUTE, "name": "c", "pathPrefix": "/c/", "timeoutMs": 10 ** 13, "targetLatencyMs": 10 ** 13}))
+        self.eventually(
+            lambda: self.nodes[0].send_request(next(self.ids), "a0", "/c/1", deadline_ms=None)[0] == 200,
+            "the added route is served")
+
 
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
