edge, platform: what is needed to resume streams outlives all nodes

What callers see: while a service has two software versions, or after the old one has left, all nodes are killed; every stream that its caller takes up again is refused (503), though upstreams of its version are there. Cause: where a stream began was kept in the memory of four nodes alone, and a node that has just started cannot tell which versions a service had. Class: state that must last is kept where nothing lasts. Change: each node has a record in the store (stream_archive): the versions that services had, and the streams that it began at services of several versions. A service of one version needs no writes for streams. Ruled out: a write before the first event, which would cost each stream a call; a version computed from the id of the request, which binds streams to upstreams that may be full.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -73,13 +73,15 @@
           prompt_part_guard_context{
               .log = this->log, .upstreams = this->upstreams, .membership = *this->membership, .peers = this->peers},
           this->settings.name},
+      archive{stream_archive_options{.node_name = this->settings.name}},
       origins{stream_origin_context{.io = this->context.io,
                   .clock = this->context.clock,
                   .log = this->log,
                   .routes = this->routes,
                   .upstreams = this->upstreams,
                   .membership = *this->membership,
-                  .peers = this->peers},
+                  .peers = this->peers,
+                  .archive = this->archive},
           this->settings.name},
       paths{std::make_shared<upstream_paths>(upstream_paths_context{.io = this->context.io,
                                                  .clock = this->context.clock,
@@ -159,6 +161,17 @@
           relay::relay_server_options{
               .listen = {.address = this->settings.caller_address.address, .port = this->settings.relay_port}}},
       shared_backoff{this->context.io},
+      archive_updates{std::make_shared<stream_archive_service>(stream_archive_context{.io = this->context.io,
+                                                                   .clock = this->context.clock,
+                                                                   .log = this->log,
+                                                                   .store = this->store,
+                                                                   .backoff = this->shared_backoff,
+                                                                   .routes = this->routes,
+                                                                   .upstreams = this->upstreams,
+                                                                   .membership = *this->membership,
+                                                                   .archive = this->archive},
+          stream_archive_service_options{.node_name = this->settings.name},
+          [this](const std::vector<resumable_stream>& streams) { this->origins.adopt(streams); })},
       started{this->context.clock.now()} {}
 
 core::result<void> entry_node::impl::start() {
@@ -220,6 +233,8 @@
     this->start_watcher(record_kind::upstreams, short_watch_timeout, upstream_watch_delay);
     this->start_watcher(record_kind::versions, long_watch_timeout, milliseconds{100});
     this->start_watcher(record_kind::leases, long_watch_timeout, milliseconds{0});
+    this->origins.wait_for(this->archive_updates);
+    this->archive_updates->start();
     this->paths->start();
     this->placement->start();
     this->dispatch->start();
--- a/src/lagoonsaddle/edge/entry_node_records.cpp
+++ b/src/lagoonsaddle/edge/entry_node_records.cpp
@@ -178,6 +178,9 @@
         case record_kind::leases:
             this->apply_lease(change, page.epoch);
             break;
+        case record_kind::streams:
+            // Read by `stream_archive_service`, at the start only.
+            break;
         }
     }
     if(kind == record_kind::upstreams) {
--- a/src/lagoonsaddle/edge/instrumented.cpp
+++ b/src/lagoonsaddle/edge/instrumented.cpp
@@ -68,6 +68,14 @@
     co_return written;
 }
 
+asio::awaitable<core::result<std::uint64_t>> instrumented_store::write_streams(
+    stream_record record, std::uint64_t revision) {
+    const auto begin = this->clock.now();
+    auto written = co_await this->wrapped.write_streams(std::move(record), revision);
+    this->record_call("write", to_string(record_kind::streams), error_of(written), begin);
+    co_return written;
+}
+
 std::uint64_t instrumented_store::epoch() const noexcept {
     return this->wrapped.epoch();
 }
--- a/src/lagoonsaddle/edge/instrumented.hpp
+++ b/src/lagoonsaddle/edge/instrumented.hpp
@@ -32,6 +32,8 @@
     [[nodiscard]] boost::asio::awaitable<core::result<stored_lease>> read_lease(std::string zone) override;
     [[nodiscard]] boost::asio::awaitable<core::result<stored_lease>> write_lease(
         lease_record lease, std::uint64_t revision) override;
+    [[nodiscard]] boost::asio::awaitable<core::result<std::uint64_t>> write_streams(
+        stream_record record, std::uint64_t revision) override;
     [[nodiscard]] std::uint64_t epoch() const noexcept override;
 
 private:
--- a/src/lagoonsaddle/edge/internal_entry_node.hpp
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -101,6 +101,7 @@
     crash_verifier verifier{crash_verifier_options{.crashes_until_quarantine = internal::crashes_until_quarantine,
         .suspect_duration = internal::suspect_duration}};
     prompt_part_guard prompt_parts;
+    stream_archive archive;
     stream_origin_service origins;
     partitioned_nodes partitions{};
     std::shared_ptr<upstream_paths> paths;
@@ -117,6 +118,7 @@
     wire::peer_server peer_server;
     relay::relay_server relay_server;
     store_backoff shared_backoff;
+    std::shared_ptr<stream_archive_service> archive_updates;
     std::vector<std::unique_ptr<record_watcher>> watchers{};
     /*! @brief What was read from the store since the last broadcast to the peers. */
     wire::store_news pending_updates{};
--- a/src/lagoonsaddle/edge/protocol.cpp
+++ b/src/lagoonsaddle/edge/protocol.cpp
@@ -10,6 +10,8 @@
         return "upstreams";
     case record_kind::versions:
         return "versions";
+    case record_kind::streams:
+        return "streams";
     case record_kind::leases:
         break;
     }
--- a/src/lagoonsaddle/edge/protocol.hpp
+++ b/src/lagoonsaddle/edge/protocol.hpp
@@ -53,10 +53,10 @@
 };
 
 /*! @brief Kinds of records that the node reads from the platform's store. */
-enum class record_kind { configuration, upstreams, versions, leases };
+enum class record_kind { configuration, upstreams, versions, leases, streams };
 
 /*! @brief Number of values of `record_kind`. */
-inline constexpr std::size_t record_kind_count{4u};
+inline constexpr std::size_t record_kind_count{5u};
 
 /*! @brief Returns the name of a kind for logs and metrics. */
 [[nodiscard]] std::string_view to_string(record_kind value) noexcept;
@@ -66,7 +66,7 @@
     std::string name{};
     std::uint64_t revision{};
     /*! @brief Empty when the record was removed or cannot be decoded. */
-    std::variant<std::monostate, configuration, upstream_entry, version_record, lease_record> value{};
+    std::variant<std::monostate, configuration, upstream_entry, version_record, lease_record, stream_record> value{};
 };
 
 /*! @brief All records of a kind, or the changes since a revision. */
@@ -134,6 +134,15 @@
     [[nodiscard]] virtual boost::asio::awaitable<core::result<stored_lease>> write_lease(
         lease_record lease, std::uint64_t revision) = 0;
 
+    /**
+     * @brief Writes the record of a node's streams if it still has the given revision.
+     * @param record New value.
+     * @param revision Expected revision; 0 when the record must not exist.
+     * @return The new revision, or `conflict`, or another error with a verdict.
+     */
+    [[nodiscard]] virtual boost::asio::awaitable<core::result<std::uint64_t>> write_streams(
+        stream_record record, std::uint64_t revision) = 0;
+
     /*! @brief Returns the highest epoch of the store in any answer so far, also in errors; 0 when none was stated. */
     [[nodiscard]] virtual std::uint64_t epoch() const noexcept = 0;
 };
--- a/src/lagoonsaddle/edge/stream_origin_service.cpp
+++ b/src/lagoonsaddle/edge/stream_origin_service.cpp
@@ -23,10 +23,12 @@
 constexpr std::size_t replica_count{3u};
 /*! @brief Maximum wait for the answers of the replicas. */
 constexpr milliseconds lookup_timeout{200};
+/*! @brief Time for which an origin from the store is kept beyond its end, as the times of day of nodes differ. */
+constexpr milliseconds clock_error_max{5'000};
 /*! @brief Longest time for which an origin is kept, whatever the deadline of its request is. */
 constexpr milliseconds lifetime_max{120'000};
-/*! @brief Time for which a stream may last when no route that can be resumed has a timeout. */
-constexpr milliseconds default_stream_time{30'000};
+/*! @brief Longest time for which a question waits until the records of the store have been read. */
+constexpr milliseconds archive_wait_max{300};
 /*! @brief Software versions that an answer names; more of them tell no more. */
 constexpr std::size_t reply_versions_max{2u};
 
@@ -56,6 +58,7 @@
 void stream_origin_service::record(const std::string& request, const stream_origin& origin, milliseconds lifetime) {
     const auto kept = std::min(lifetime, lifetime_max);
     this->origins.record(request, origin, this->context.clock.now() + kept);
+    this->context.archive.add(request, origin, core::unix_time() + kept);
     const wire::stream_origin_update update{.request = request,
         .service = origin.service,
         .software_version = origin.software_version,
@@ -87,12 +90,25 @@
         this->context.clock.now() + milliseconds{static_cast<std::int64_t>(lifetime)});
 }
 
+void stream_origin_service::adopt(const std::vector<resumable_stream>& streams) {
+    const auto unix_now = core::unix_time();
+    const auto now = this->context.clock.now();
+    for(const auto& stream : streams) {
+        const auto left = std::clamp(stream.expires - unix_now, milliseconds{0}, lifetime_max);
+        this->origins.record(stream.request, {.service = stream.service, .software_version = stream.software_version},
+            now + left + clock_error_max);
+    }
+}
+
 stream_origin_service::findings stream_origin_service::look_up(
     std::string_view request, std::string_view service) const {
-    const auto longest = this->context.routes.longest_resumable_timeout();
-    const auto since = this->context.clock.now() - (longest.count() > 0 ? longest : default_stream_time);
+    const auto longest = longest_stream_time(this->context.routes);
+    const auto since = this->context.clock.now() - longest;
+    const auto unix_now = core::unix_time();
+    const auto& archive = this->context.archive;
     findings found{.versions = this->context.upstreams.software_versions(service, since),
-        .versions_complete = this->context.upstreams.complete_since(since)};
+        .versions_complete = this->context.upstreams.complete_since(since) || archive.is_complete(longest, unix_now)};
+    found.versions.merge(archive.versions(service, longest, unix_now));
     if(const auto* origin = this->origins.find(request)) {
         found.origin = *origin;
     }
@@ -147,6 +163,10 @@
 
 asio::awaitable<std::optional<stream_origin>> stream_origin_service::resolve(std::string request, std::string service) {
     auto found = this->look_up(request, service);
+    if(!found.origin && this->archived_records) {
+        co_await this->archived_records->wait_until_loaded(archive_wait_max);
+        found = this->look_up(request, service);
+    }
     const std::string_view source = found.origin ? "local" : "peer";
     if(!found.origin && (!request.empty() || !found.versions_complete)) {
         wire::stream_origin_get question{.request = request, .service = service};
--- a/src/lagoonsaddle/edge/stream_origin_service.hpp
+++ b/src/lagoonsaddle/edge/stream_origin_service.hpp
@@ -3,10 +3,13 @@
 
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -16,6 +19,8 @@
 #include <lagoonsaddle/core/clock.hpp>
 #include <lagoonsaddle/edge/decision_log.hpp>
 #include <lagoonsaddle/edge/route_table.hpp>
+#include <lagoonsaddle/edge/stream_archive.hpp>
+#include <lagoonsaddle/edge/stream_archive_service.hpp>
 #include <lagoonsaddle/edge/stream_origin_table.hpp>
 #include <lagoonsaddle/edge/upstream_table.hpp>
 #include <lagoonsaddle/wire/messages.hpp>
@@ -31,16 +36,17 @@
     const upstream_table& upstreams;
     cluster::membership_service& membership;
     cluster::peer_directory& peers;
+    stream_archive& archive;
 };
 
 /**
  * @brief Tells where a stream began that its caller resumes, on whichever node.
  *
  * The node that passes on the first event keeps the origin and sends it to a few nodes that follow from the id of the
- * request (`select_replicas`); the node at which the stream is resumed asks the same ones. When none of them knows the
- * stream, it can only have begun at the one software version that its service has had for as long as a stream can last;
- * if there were several, or no node has seen that long, the origin is unknown. Must only be used from the thread that
- * runs the `io_context`.
+ * request (`select_replicas`); the node at which the stream is resumed asks the same ones. What outlives all nodes is
+ * in the store (`stream_archive`). When no node knows the stream, it can only have begun at the one software version
+ * that its service has had for as long as a stream can last; if there were several, or no node has seen that long, the
+ * origin is unknown. Must only be used from the thread that runs the `io_context`.
  */
 class stream_origin_service {
 public:
@@ -63,6 +69,14 @@
     [[nodiscard]] boost::asio::awaitable<std::optional<stream_origin>> resolve(
         std::string request, std::string service);
 
+    /*! @brief Takes over the streams that nodes had recorded in the store before this process started. */
+    void adopt(const std::vector<resumable_stream>& streams);
+
+    /*! @brief Waits with each question until the records of the store have been read, for a short time. */
+    void wait_for(std::shared_ptr<const stream_archive_service> records) {
+        this->archived_records = std::move(records);
+    }
+
     /*! @brief Applies what another node has recorded. */
     void merge(std::string_view packed);
 
@@ -95,6 +109,7 @@
     stream_origin_context context;
     std::string node_name;
     stream_origin_table origins{};
+    std::shared_ptr<const stream_archive_service> archived_records{};
 };
 
 } // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/types.hpp
+++ b/src/lagoonsaddle/edge/types.hpp
@@ -112,6 +112,41 @@
     std::uint64_t fencing_token{};
 };
 
+/*! @brief A software version that upstreams of a service have or had. */
+struct service_version {
+    /*! @brief Value of `until` while there is an upstream of the version. */
+    static constexpr std::chrono::milliseconds in_sight{0};
+
+    std::string service{};
+    std::string software_version{};
+    /*! @brief Unix time at which the last upstream of the version was removed, or `in_sight`. */
+    std::chrono::milliseconds until{in_sight};
+};
+
+/*! @brief A stream that its caller may resume, and where it began. */
+struct resumable_stream {
+    /*! @brief Id of the request that brought the first event. */
+    std::string request{};
+    std::string service{};
+    /*! @brief Nothing when it could not be told. */
+    std::optional<std::string> software_version{};
+    /*! @brief Unix time from which the stream can no longer be resumed. */
+    std::chrono::milliseconds expires{};
+};
+
+/*! @brief Record in the store of what is needed to resume the streams of a node after all nodes have stopped. */
+struct stream_record {
+    std::string node{};
+    /*! @brief Epoch of the store in which the record was written. */
+    std::uint64_t epoch{};
+    /*! @brief Unix time at which the record was written. */
+    std::chrono::milliseconds written{};
+    /*! @brief Unix time from which `versions` is complete; nothing when it is not. */
+    std::optional<std::chrono::milliseconds> complete_from{};
+    std::vector<service_version> versions{};
+    std::vector<resumable_stream> streams{};
+};
+
 /*! @brief Fields of a caller's request that routing and scheduling depend on. */
 struct request_metadata {
     std::string id{};
--- a/src/lagoonsaddle/edge/upstream_table.hpp
+++ b/src/lagoonsaddle/edge/upstream_table.hpp
@@ -142,6 +142,11 @@
     [[nodiscard]] std::set<std::string, std::less<>> software_versions(
         std::string_view service, core::time_point since) const;
 
+    /*! @brief Returns the time since which the entries have shown all upstreams; nothing while they do not. */
+    [[nodiscard]] std::optional<core::time_point> complete_from() const noexcept {
+        return this->current_since;
+    }
+
     /*! @brief Returns whether the entries have shown all upstreams without a break since a time. */
     [[nodiscard]] bool complete_since(core::time_point since) const noexcept {
         return this->current_since && *this->current_since <= since;
--- a/test/edge/placement_fixture.hpp
+++ b/test/edge/placement_fixture.hpp
@@ -56,6 +56,10 @@
         co_return stored;
     }
 
+    boost::asio::awaitable<core::result<std::uint64_t>> write_streams(stream_record, std::uint64_t) override {
+        co_return core::fail(core::reason::unavailable, "not used");
+    }
+
     [[nodiscard]] std::uint64_t epoch() const noexcept override {
         return this->current_epoch;
     }
--- a/test/edge/record_watcher_test.cpp
+++ b/test/edge/record_watcher_test.cpp
@@ -41,6 +41,10 @@
         co_return core::fail(core::reason::not_found, "not used");
     }
 
+    asio::awaitable<core::result<std::uint64_t>> write_streams(stream_record, std::uint64_t) override {
+        co_return core::fail(core::reason::unavailable, "not used");
+    }
+
     [[nodiscard]] std::uint64_t epoch() const noexcept override {
         return 0u;
     }
