--- a/src/lagoonsaddle/http/json.cpp
+++ b/src/lagoonsaddle/http/json.cpp
@@ -69,6 +69,28 @@
     return 500u;
 }
 
+/*! @brief Returns whether brackets are nested at most `json_depth_max` deep. Skips strings. */
+[[nodiscard]] bool is_shallow(std::string_view text) noexcept {
+    std::size_t depth{};
+    bool in_string{false};
+    for(std::size_t index{}; index < text.size(); ++index) {
+        const auto character = text[index];
+        if(in_string) {
+            in_string = character != '"';
+            index += character == '\\' ? 1u : 0u;
+        } else if(character == '"') {
+            in_string = true;
+        } else if(character == '[' || character == '{') {
+            if(++depth > json_depth_max) {
+                return false;
+            }
+        } else if((character == ']' || character == '}') && depth > 0u) {
+            --depth;
+        }
+    }
+    return true;
+}
+
 template<typename Callback>
 void for_each_part(std::string_view text, char separator, Callback callback) {
     while(!text.empty()) {
@@ -122,6 +144,9 @@
 }
 
 std::optional<nlohmann::json> parse_json(std::string_view body) {
+    if(!is_shallow(body)) {
+        return std::nullopt;
+    }
     auto value = nlohmann::json::parse(body, nullptr, false);
     if(value.is_discarded()) {
         return std::nullopt;
--- a/src/lagoonsaddle/http/json.hpp
+++ b/src/lagoonsaddle/http/json.hpp
@@ -1,6 +1,7 @@
 #ifndef LAGOONSADDLE_HTTP_JSON_HPP
 #define LAGOONSADDLE_HTTP_JSON_HPP
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -37,10 +38,14 @@
  */
 [[nodiscard]] nlohmann::json error_body(const core::error& failure, std::string_view request_id = {});
 
+/*! @brief Deepest nesting of arrays and objects that is read: values are copied and written by recursion, which would
+ * exhaust the stack on deeper ones. */
+inline constexpr std::size_t json_depth_max{100u};
+
 /**
  * @brief Parses a JSON body without throwing.
  * @param body Text of the body.
- * @return The value, or nothing when the text is not valid JSON.
+ * @return The value, or nothing when the text is not valid JSON, is nested too deeply or holds a number out of range.
  */
 [[nodiscard]] std::optional<nlohmann::json> parse_json(std::string_view body);
 
--- a/test/host_platform/record_codec_test.cpp
+++ b/test/host_platform/record_codec_test.cpp
@@ -58,6 +58,111 @@
     }
 }
 
+// Guards against one odd entry that hides the others, in a list and among changes.
+TEST_CASE("decode_list_odd_entry_costs_only_itself") {
+    const std::string sound{R"("service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","slots":6)"};
+    const auto deep = std::string(200'000u, '[') + std::string(200'000u, ']');
+    const auto digits = std::string(400u, '9');
+    const auto long_name = std::string(1'000u, 'n');
+
+    struct row {
+        std::string spec;
+        bool is_valid;
+    };
+
+    for(const auto& [spec, is_valid] : {row{"{" + sound + R"(,"other":1e400})", true},
+            row{"{" + sound + R"(,"version":-9e99999})", true}, row{"{" + sound + R"(,"seq":)" + digits + "}", true},
+            row{"{" + sound + R"(,"version":)" + deep + "}", true}, row{deep, false}, row{digits, false},
+            row{"{" + sound + R"(,"models":[{"name":"m","adapters":)" + deep + "}]}", true},
+            row{R"({"service":"\ud800","state":"ready"})", false}, row{R"({"service":"s")", false},
+            row{R"({"service":")" + long_name + R"(","address":"10.0.0.1:80","zone":"z","state":"ready"})", false}}) {
+        CAPTURE(spec.substr(0u, 120u));
+        const auto object = [](const std::string& name, const std::string& value) {
+            return R"({"metadata":{"name":")" + name + R"(","revision":9},"spec":)" + value + "}";
+        };
+        const auto objects =
+            object("a", "{" + sound + "}") + "," + object("odd", spec) + "," + object("b", "{" + sound + "}");
+        const bool balanced = spec != R"({"service":"s")";
+        const auto list = decode_list(
+            edge::record_kind::upstreams, R"({"items":[)" + objects + R"(],"more":false,"storeRevision":40})");
+        REQUIRE(list.has_value() == balanced);
+        if(!balanced) {
+            continue;
+        }
+        const auto& records = list->page.records;
+        REQUIRE(records.size() == 3u);
+        CHECK(list->page.revision == 40u);
+        CHECK(std::holds_alternative<edge::upstream_entry>(records[0].value));
+        CHECK(records[1].name == "odd");
+        CHECK(std::holds_alternative<edge::upstream_entry>(records[1].value) == is_valid);
+        CHECK(std::holds_alternative<edge::upstream_entry>(records[2].value));
+        const auto watch = decode_watch(edge::record_kind::upstreams,
+            R"({"storeRevision":41,"events":[{"object":)" + object("odd", spec) + R"(,"removed":false},{"object":)" +
+                object("b", "{" + sound + "}") + "}]}");
+        REQUIRE(watch.has_value());
+        REQUIRE(watch->records.size() == 2u);
+        CHECK(watch->records[0].name == "odd");
+        CHECK(std::holds_alternative<edge::upstream_entry>(watch->records[0].value) == is_valid);
+        CHECK(std::holds_alternative<edge::upstream_entry>(watch->records[1].value));
+    }
+}
+
+// Guards against a configuration that lacks what could not be read, and means something else without it.
+TEST_CASE("decode_list_configuration_with_unreadable_part_is_no_configuration") {
+    const auto page = decode_list(edge::record_kind::configuration, R"({"storeRevision":40,"items":[
+        {"metadata":{"name":"main","revision":9},"spec":{"version":3,"services":[],
+         "routes":[{"name":"r","host":"h","timeoutMs":1e400,"service":"s"}]}}]})");
+    REQUIRE(page.has_value());
+    REQUIRE(page->page.records.size() == 1u);
+    CHECK(std::holds_alternative<std::monostate>(page->page.records[0].value));
+}
+
+// Guards against pages that are not read because the last object of one cannot be read.
+TEST_CASE("decode_list_unreadable_last_object_goes_on_after_the_one_before") {
+    const auto page = decode_list(edge::record_kind::versions,
+        R"({"storeRevision":40,"more":true,"items":[{"metadata":{"name":"a"},"spec":{}},{"metadata":1e400}]})");
+    REQUIRE(page.has_value());
+    CHECK(page->continue_after == "a");
+}
+
+// Guards against a report that counts as missing for a field that is not used.
+TEST_CASE("decode_report_unreadable_field_leaves_the_rest") {
+    const auto report = decode_report(R"({"seq":4,"kvTotal":1e400,"running":2})");
+    REQUIRE(report.has_value());
+    CHECK(report->orders_accepted == 4u);
+    CHECK(report->running == 2u);
+    CHECK_FALSE(decode_report(R"({"seq":1e400})").has_value());
+}
+
+// Guards against streams that are forgotten or bound to another version on their way through the store.
+TEST_CASE("decode_object_streams_returns_what_was_encoded") {
+    using namespace std::chrono_literals;
+    const edge::stream_record record{.node = "n",
+        .epoch = 4u,
+        .written = 90s,
+        .complete_from = 20s,
+        .versions = {{.service = "s", .software_version = "v1", .until = 80s},
+            {.service = "s", .software_version = ""}},
+        .streams = {{.request = "r", .service = "s", .software_version = "v1", .expires = 99s},
+            {.request = "q", .service = "s", .expires = 98s}}};
+    const auto object = nlohmann::json::parse(encode_streams(record, 7u));
+    CHECK(object["metadata"]["revision"] == 7u);
+    const auto change = decode_object(edge::record_kind::streams, object);
+    REQUIRE(std::holds_alternative<edge::stream_record>(change.value));
+    const auto& decoded = std::get<edge::stream_record>(change.value);
+    CHECK(decoded.node == "n");
+    CHECK(decoded.epoch == 4u);
+    CHECK(decoded.written == 90s);
+    CHECK(decoded.complete_from == 20s);
+    REQUIRE(decoded.versions.size() == 2u);
+    CHECK(decoded.versions[0].until == 80s);
+    CHECK(decoded.versions[1].until == edge::service_version::in_sight);
+    REQUIRE(decoded.streams.size() == 2u);
+    CHECK(decoded.streams[0].software_version == "v1");
+    CHECK(decoded.streams[0].expires == 99s);
+    CHECK_FALSE(decoded.streams[1].software_version.has_value());
+}
+
 TEST_CASE("decode_object_configuration_returns_routes_and_services") {
     const auto change = decode_object(edge::record_kind::configuration, nlohmann::json::parse(R"({
         "metadata": {"name": "main", "revision": 3},
