edge: a request goes back to the upstream that refused it on another connection

What callers see: an upstream refuses a request (421), which is sent there again after its adapter was loaded. A faulty one writes that refusal once more on the connection: the request is taken for not run while it runs, and runs a second time (TWICE) or is answered 503 (REFUSED). Cause: a refusal is matched by the id of its request, and the copy has the right one. Class: a response is matched by an id that several sends share. Evidence: test_refusal_repeated_to_the_same_request_is_no_second_refusal: run twice before, once after. Conclusion: a new connection carries no copy; such sends are few, so that its cost does not count.

--- a/src/lagoonsaddle/edge/forwarder_paths.cpp
+++ b/src/lagoonsaddle/edge/forwarder_paths.cpp
@@ -70,6 +70,10 @@
     exchange_state& state, const upstream_entry& upstream) {
     auto options = this->make_exchange_options(state);
     options.reuse_within = this->context.paths.reuse_limit(options.reuse_within);
+    if(state.refused_by.contains(upstream.id)) {
+        // On the connection of the refusal, a second copy of it could not be told from an answer to this send.
+        options.reuse_within = milliseconds{0};
+    }
     options.reuse_only = this->context.paths.partitioned();
     const bool may_repeat = state.repeatable() && state.possible_runs + 1u < state.matched_route->attempts_max;
     state.relayed.reset();
--- a/src/lagoonsaddle/edge/internal_exchange.hpp
+++ b/src/lagoonsaddle/edge/internal_exchange.hpp
@@ -66,6 +66,8 @@
     bool path_lost{false};
 
     std::set<std::string> excluded{};
+    /*! @brief Upstreams that have refused the request: a second copy of that refusal has the id of this request too. */
+    std::set<std::string> refused_by{};
     /*! @brief Attempts to choose an upstream. */
     unsigned placements{};
     /*! @brief Sends that reached an upstream. Reset to 0 by a retry that is charged in advance. */
--- a/test/platform_node/broken_answer_test.py
+++ b/test/platform_node/broken_answer_test.py
@@ -148,6 +148,63 @@
         return status, body, time.monotonic() - begin
 
 
+class RepeatingEngine(standin.Engine):
+    """An engine that refuses the first copy of each request, or the first orders, and repeats refusals later."""
+
+    def __init__(self, *arguments):
+        # Whether requests are refused once, copies of a refusal before all answers, and refusals of orders that are left.
+        self.refuses_requests, self.copies, self.refused_orders = False, 0, 0
+        self.last_refusal = b""
+        self.refused, self.order_connections = set(), []
+        super().__init__(*arguments)
+
+    def respond(self, handler, body):
+        if handler.path == "/-/order":
+            with self.lock:
+                self.order_connections.append(handler.connection)
+                if self.refused_orders > 0:
+                    self.refused_orders -= 1
+                    return handler.reply(409)
+        return super().respond(handler, body)
+
+    def execute(self, handler):
+        request_id = handler.headers["X-Attempt-Id"]
+        with self.lock:
+            refuses = self.refuses_requests and request_id not in self.refused
+            self.refused.add(request_id)
+        if refuses:
+            handler.refusal = (f"HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {self.name}\r\n"
+                               f"X-Attempt-Id: {request_id}\r\nContent-Length: 2\r\n\r\nno").encode()
+            self.last_refusal = handler.refusal
+            return handler.wfile.write(handler.refusal)
+        handler.wfile.write(getattr(handler, "refusal", b""))
+        handler.wfile.write((self.last_refusal + b"HTTP/1.1 102 Processing\r\n\r\n") * self.copies)
+        return super().execute(handler)
+
+
+class RepeatedRefusalTest(EntryNodeCase):
+    """One node before an engine that writes refusals again on kept connections."""
+
+    ENGINE_TYPE = RepeatingEngine
+    ENGINE_COUNT = 1
+
+    def setUp(self):
+        super().setUp()
+        self.start_fleet(1)
+        self.engine = self.engines[0]
+
+    def assert_served_once(self, request_id):
+        result = self.nodes[0].send_request(request_id, "a0")
+        self.assertEqual((200, COMPLETE_STREAM.format("a0")), result)
+        self.assertEqual(1, [executed for executed, _ in self.engine.executed].count(request_id))
+
+    def test_refusal_repeated_to_the_same_request_is_no_second_refusal(self):
+        """A request that is sent again to the engine that refused it must not be told not run while it runs."""
+        self.engine.refuses_requests = True
+        for _ in range(4):
+            self.assert_served_once(next(self.ids))
+
+
 class BrokenAnswerTest(FaultyAnswerCase):
     """Answers without end, and answers that end early, come twice or come slowly."""
 
