http: up to 16 heads that belong to no request are skipped

What callers see: 502 for a request that was served, when a faulty upstream writes earlier refusals several times. Cause: the client gave up the connection after two foreign heads; interim responses counted as well. The loss was also recorded as a crash of the upstream on that request. Evidence: test_refusal_repeated_many_times_to_a_later_request_is_skipped: 502 before, 200 after (6 copies).

--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -278,7 +278,7 @@
      * larger one would block the writer. */
     static constexpr std::size_t small_body{4u * 1024u};
     /*! @brief Heads of other requests that are skipped on one connection. */
-    static constexpr unsigned foreign_heads_max{2u};
+    static constexpr unsigned foreign_heads_max{16u};
 
     /*! @brief Outlives the stream while a body is written beside the reader. */
     struct pending_write {
--- a/test/platform_node/broken_answer_test.py
+++ b/test/platform_node/broken_answer_test.py
@@ -204,6 +204,14 @@
         for _ in range(4):
             self.assert_served_once(next(self.ids))
 
+    def test_refusal_repeated_many_times_to_a_later_request_is_skipped(self):
+        """Copies of the refusal of another request, however many, must not cost a later one its answer."""
+        self.engine.refuses_requests = True
+        self.nodes[0].send_request(next(self.ids), "a0")
+        self.engine.refuses_requests, self.engine.copies = False, 6
+        for _ in range(4):
+            self.assert_served_once(next(self.ids))
+
 
 class BrokenAnswerTest(FaultyAnswerCase):
     """Answers without end, and answers that end early, come twice or come slowly."""
