platform, http: the connection of a refused order carries no other order

What callers see: a second copy of the refusal of an order answers the next order, so that an adapter counts as not loaded, or a lease as lost, for no reason. Cause: answers to orders name no order, and connections were kept after refusals. Evidence: test_order_after_a_refused_one_goes_on_another_connection: the same connection before, another one after.

--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -196,6 +196,7 @@
 
     asio::awaitable<core::result<void>> connect(
         std::chrono::milliseconds reuse_within, const exchange_options& options) {
+        this->closes_after_refusal = options.close_after_refusal;
         if(reuse_within.count() > 0 && !options.via) {
             if(auto idle = this->connections->take(this->target, reuse_within); idle.has_value()) {
                 *this->socket = std::move(*idle);
@@ -406,9 +407,11 @@
     }
 
     [[nodiscard]] bool reusable() const {
-        return !this->failed && !this->single_use && !this->guard.expired() && this->socket->is_open() &&
-               this->parser.has_value() && this->parser->is_done() && this->parser->keep_alive() &&
-               this->buffer.size() == 0u && (!this->writing || (this->writing->done && !this->writing->failed));
+        const bool refused = this->parser.has_value() && this->status() >= 400u;
+        return !this->failed && !this->single_use && !(this->closes_after_refusal && refused) &&
+               !this->guard.expired() && this->socket->is_open() && this->parser.has_value() &&
+               this->parser->is_done() && this->parser->keep_alive() && this->buffer.size() == 0u &&
+               (!this->writing || (this->writing->done && !this->writing->failed));
     }
 
     std::shared_ptr<pool> connections;
@@ -423,6 +426,7 @@
     std::function<void()> exchange_control::*control_hook{};
     bool from_pool{false};
     bool single_use{false};
+    bool closes_after_refusal{false};
     bool failed{false};
 };
 
@@ -487,7 +491,13 @@
 
 asio::awaitable<core::result<response>> client::send(
     core::endpoint target, request message, std::chrono::milliseconds timeout) {
-    auto opened = co_await this->open(std::move(target), std::move(message), timeout);
+    exchange_options options{};
+    options.timeout = timeout;
+    return this->send(std::move(target), std::move(message), std::move(options));
+}
+
+asio::awaitable<core::result<response>> client::send(core::endpoint target, request message, exchange_options options) {
+    auto opened = co_await this->open(std::move(target), std::move(message), std::move(options));
     if(!opened) {
         co_return tl::make_unexpected(std::move(opened.error()));
     }
--- a/src/lagoonsaddle/http/client.hpp
+++ b/src/lagoonsaddle/http/client.hpp
@@ -71,6 +71,9 @@
     std::shared_ptr<exchange_control> control{};
     /*! @brief Fails with `connection_refused` instead of making a connection when no idle one can be reused. */
     bool reuse_only{false};
+    /*! @brief Closes the connection after a response with a status of 400 or above. A faulty peer may send that one
+     * again, which would be taken for the next response where responses name no request. */
+    bool close_after_refusal{false};
     /*! @brief Makes the connection, which is then used for this exchange alone; null to connect to the target. */
     std::shared_ptr<connector> via{};
 };
@@ -122,6 +125,16 @@
     [[nodiscard]] boost::asio::awaitable<core::result<response>> send(
         core::endpoint target, request message, std::chrono::milliseconds timeout);
 
+    /**
+     * @brief Sends a request and reads the whole response.
+     * @param target Where to send it.
+     * @param message The request. `host` and `content-length` are set by the client.
+     * @param options Options of the exchange.
+     * @return The response, or an error with a verdict.
+     */
+    [[nodiscard]] boost::asio::awaitable<core::result<response>> send(
+        core::endpoint target, request message, exchange_options options);
+
     /**
      * @brief Sends a request and returns after the response head.
      * @param target Where to send it.
--- a/test/platform_node/broken_answer_test.py
+++ b/test/platform_node/broken_answer_test.py
@@ -212,6 +212,15 @@
         for _ in range(4):
             self.assert_served_once(next(self.ids))
 
+    def test_order_after_a_refused_one_goes_on_another_connection(self):
+        """A second copy of the refusal of an order names no request, and must not answer the next order."""
+        before = len(self.engine.order_connections)
+        self.engine.refused_orders = 1
+        self.eventually(lambda: self.is_served(self.nodes[0], "b0"), "the adapter is served")
+        refused, *later = self.engine.order_connections[before:]
+        self.assertTrue(later)
+        self.assertNotIn(refused, later)
+
 
 class BrokenAnswerTest(FaultyAnswerCase):
     """Answers without end, and answers that end early, come twice or come slowly."""
