--- a/src/lagoonsaddle/edge/stream_archive_service.cpp
+++ b/src/lagoonsaddle/edge/stream_archive_service.cpp
@@ -30,7 +30,7 @@
 
 stream_archive_service::stream_archive_service(
     stream_archive_context uses, stream_archive_service_options options, load_function receiver)
-    : context{uses}, settings{options}, on_loaded{std::move(receiver)} {}
+    : context{uses}, settings{std::move(options)}, on_loaded{std::move(receiver)} {}
 
 void stream_archive_service::start() {
     asio::co_spawn(
