edge: a history of versions counts only while all upstreams are seen

What callers could see: a node that the store turns away takes a service for one of one version by its history, while others begin streams at a second one; if the nodes that know such a stream are gone, it goes on at the first (ORDER). Cause: the history of the former process was taken for complete although this one saw no changes any more; before the records of streams such a node refused. Conclusion: as strict as before the records, where the store does not answer.

--- a/src/lagoonsaddle/edge/stream_origin_service.cpp
+++ b/src/lagoonsaddle/edge/stream_origin_service.cpp
@@ -105,9 +105,12 @@
     const auto longest = longest_stream_time(this->context.routes);
     const auto since = this->context.clock.now() - longest;
     const auto unix_now = core::unix_time();
+    const auto& upstreams = this->context.upstreams;
     const auto& archive = this->context.archive;
-    findings found{.versions = this->context.upstreams.software_versions(service, since),
-        .versions_complete = this->context.upstreams.complete_since(since) || archive.is_complete(longest, unix_now)};
+    // The history ends with the former process, so that this one must see all upstreams as well.
+    const bool history_complete = upstreams.complete_from() && archive.is_complete(longest, unix_now);
+    findings found{.versions = upstreams.software_versions(service, since),
+        .versions_complete = history_complete || upstreams.complete_since(since)};
     found.versions.merge(archive.versions(service, longest, unix_now));
     if(const auto* origin = this->origins.find(request)) {
         found.origin = *origin;
