--- a/test/edge/configuration_codec_test.cpp
+++ b/test/edge/configuration_codec_test.cpp
@@ -26,4 +26,23 @@
     CHECK_FALSE(unpack_configuration("truncated").has_value());
 }
 
+// Guards against a node of an earlier build that misreads the configuration of a peer: it has no names of fields.
+TEST_CASE("pack_configuration_keeps_the_layout_of_earlier_builds") {
+    const configuration value{.version = 7u,
+        .routes = {{.name = "r",
+            .host = "h",
+            .path_prefix = "/a/",
+            .retry = retry_mode::resumable,
+            .streaming = true,
+            .timeout = 1ms,
+            .latency_objective = 2ms,
+            .attempts_max = 3u,
+            .priority = 4u,
+            .services = {{.name = "s", .weight = 5u}}}},
+        .services = {{.name = "s", .adapter_slots = 6u, .models = {"m"}}}};
+    // The characters are the texts and, below 16, the numbers; the others begin arrays and texts in msgpack.
+    CHECK(pack_configuration(value) == "\x93\x07\x91\x9a\xa1r\xa1h\xa3/a/\x02\xc3\x01\x02\x03\x04\x91\x92\xa1s\x05"
+                                       "\x91\x93\xa1s\x06\x91\xa1m");
+}
+
 } // namespace lagoonsaddle::edge
