edge: a route that leads nowhere costs only itself

What callers see: all requests are refused (503, configuration not known), as the configuration holds one route that leads to no service. Cause: refused a whole configuration for a fault of one route; a node that starts has no earlier one to keep. Conclusion: the unit of failure is the route; requests for it are refused as before.

--- a/src/lagoonsaddle/edge/configuration_check.hpp
+++ b/src/lagoonsaddle/edge/configuration_check.hpp
@@ -11,6 +11,10 @@
 
 /**
  * @brief Checks whether a configuration may come into force.
+ *
+ * A route that leads nowhere harms only its own requests, which are refused: to refuse the whole configuration for it
+ * would cost all others, and a node that starts has no earlier one.
+ *
  * @param value A configuration from the store or from a peer.
  * @return Nothing, or `invalid_argument` with the route and what is wrong with it.
  */
