edge: only the next events of a stream go on with it

Cause: operators found the text of an error, at times its whole head, in the middle of streams, or streams that ended as complete. A resumed request was answered with 200 and JSON or text, with an error head after an event, with 201, 204 or 206, from the first event on, or with a comment alone; relay_stream passed on whatever stood before a blank line and took the end of the response for the end of the stream. Change: a response goes on with a stream only when it is a 200 of the media type of its beginning, and while each block is an event with a higher id; without an event it completes nothing. Everything else breaks the stream off, which the node resumes elsewhere or the caller sees. A block with a line that is no field, or an id that does not rise, breaks off a first response as well. A first response of another media type on a streaming route is passed on as a whole, not as events. Not checked: an id that is too high, as the ids of a stream need only rise.

--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -122,6 +122,18 @@
         exchange_state& state, const std::string& upstream, const core::error& failure);
     /*! @brief Returns whether a request goes on with a stream of which its caller has events. */
     [[nodiscard]] static bool is_resumed(const exchange_state& state);
+    /*! @brief Returns the id of the last event that the caller has; nothing before the first one. */
+    [[nodiscard]] static std::optional<std::uint64_t> last_event_id(const exchange_state& state);
+    /*! @brief Returns whether the next response has to go on with a stream of which the caller has events. */
+    [[nodiscard]] static bool goes_on_with_stream(const exchange_state& state);
+    /*! @brief Returns whether a response is a stream of events; one without a media type is taken for one. */
+    [[nodiscard]] static bool is_event_stream(const http::response_stream& upstream_response);
+    /*! @brief Returns whether the head of a response is that of a stream which goes on. */
+    [[nodiscard]] static bool is_continuation(
+        const exchange_state& state, const http::response_stream& upstream_response);
+    /*! @brief Passes on a response that has to go on with a stream; any other one breaks the stream off. */
+    [[nodiscard]] boost::asio::awaitable<attempt_result> relay_continuation(
+        exchange_state& state, const std::string& upstream, http::response_stream& upstream_response);
     /*! @brief Binds a request that goes on with a stream to where it began; returns why it is refused otherwise. */
     [[nodiscard]] boost::asio::awaitable<std::optional<core::error>> bind_to_origin(exchange_state& state);
     /*! @brief Records where a stream begins, before its first event is passed on. */
--- a/src/lagoonsaddle/edge/forwarder_paths.cpp
+++ b/src/lagoonsaddle/edge/forwarder_paths.cpp
@@ -33,7 +33,7 @@
     forwarding_metadata added{
         .deadline = to_ms(state.deadline - this->context.clock.now()), .expected_upstream = upstream};
     added.urgency = std::min(urgency_base + state.matched_route->priority, urgency_max);
-    added.resume_after = state.splitter.last_id() ? state.splitter.last_id() : state.metadata.last_event_id;
+    added.resume_after = state.splitter.event_count() > 0u ? last_event_id(state) : state.metadata.last_event_id;
     return this->context.format.make_upstream_request(state.request, added);
 }
 
--- a/src/lagoonsaddle/edge/forwarder_response.cpp
+++ b/src/lagoonsaddle/edge/forwarder_response.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <lagoonsaddle/edge/internal_exchange.hpp>
+#include <lagoonsaddle/http/media_type.hpp>
 
 namespace lagoonsaddle::edge {
 
@@ -98,7 +99,11 @@
                 .message = "status " + std::to_string(upstream_response.status()) +
                            " without a valid response body of the upstream"});
     }
-    if(state.matched_route->streaming && success) {
+    if(state.matched_route->streaming && success && goes_on_with_stream(state)) {
+        co_return co_await this->relay_continuation(state, upstream, upstream_response);
+    }
+    if(state.matched_route->streaming && success && is_event_stream(upstream_response)) {
+        state.splitter.begin_response();
         co_return co_await this->relay_stream(state, upstream, upstream_response);
     }
     buffer_reservation reserved{this->buffered_bytes};
@@ -174,6 +179,11 @@
 asio::awaitable<core::result<std::string>> forwarder::read_events(
     exchange_state& state, http::response_stream& upstream_response) {
     while(true) {
+        if(state.splitter.is_malformed()) {
+            upstream_response.close();
+            co_return core::fail(core::reason::protocol_error, core::verdict::may_have_run,
+                "the stream holds what is no event, or not the next one");
+        }
         auto chunk = co_await upstream_response.read();
         if(!chunk) {
             co_return tl::make_unexpected(std::move(chunk.error()));
@@ -202,7 +212,7 @@
 
 forwarder::attempt_result forwarder::handle_broken_stream(
     exchange_state& state, const std::string& upstream, const core::error& failure) {
-    const bool resumable = state.matched_route->retry == retry_mode::resumable;
+    const bool resumable = state.matched_route->retry == retry_mode::resumable && state.splitter.is_resumable();
     const auto next = this->handle_failure(state, upstream, failure);
     if(next == attempt_result::retry && (resumable || !state.head_sent)) {
         return attempt_result::retry;
@@ -222,6 +232,7 @@
         state.head_sent = true;
         state.status = upstream_response.status();
         state.first_event_at = arrived;
+        state.stream_media_type = http::media_type(upstream_response.headers());
         this->record_origin(state, upstream);
         this->context.prompt_parts.record_answer(state.metadata.shared_parts);
         auto headers = this->context.format.caller_headers(upstream_response.headers());
@@ -242,7 +253,6 @@
 
 asio::awaitable<forwarder::attempt_result> forwarder::relay_stream(
     exchange_state& state, const std::string& upstream, http::response_stream& upstream_response) {
-    state.splitter.begin_response();
     bool ended{false};
     while(!ended) {
         auto events = co_await this->read_events(state, upstream_response);
--- a/src/lagoonsaddle/edge/forwarder_streams.cpp
+++ b/src/lagoonsaddle/edge/forwarder_streams.cpp
@@ -1,9 +1,12 @@
-// Keeps a stream that is resumed at the software version that began it.
+// Goes on with streams: at the software version that began them, and only with what is a part of them.
 #include <algorithm>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include <lagoonsaddle/edge/internal_exchange.hpp>
+#include <lagoonsaddle/http/media_type.hpp>
 
 namespace lagoonsaddle::edge {
 
@@ -15,6 +18,8 @@
 
 /*! @brief Time beyond the deadline of a request in which its caller may still resume the stream. */
 constexpr milliseconds resume_margin{1'000};
+constexpr unsigned status_ok{200u};
+constexpr std::string_view event_stream_type{"text/event-stream"};
 
 } // namespace
 
@@ -23,6 +28,43 @@
     return resumable && (state.metadata.last_event_id || !state.metadata.resumed_request.empty());
 }
 
+std::optional<std::uint64_t> forwarder::last_event_id(const exchange_state& state) {
+    if(state.splitter.event_count() > 0u) {
+        return state.splitter.last_id();
+    }
+    return is_resumed(state) ? state.metadata.last_event_id : std::nullopt;
+}
+
+bool forwarder::goes_on_with_stream(const exchange_state& state) {
+    return state.splitter.event_count() > 0u || last_event_id(state).has_value();
+}
+
+bool forwarder::is_event_stream(const http::response_stream& upstream_response) {
+    const auto type = http::media_type(upstream_response.headers());
+    return type.empty() || type == event_stream_type;
+}
+
+bool forwarder::is_continuation(const exchange_state& state, const http::response_stream& upstream_response) {
+    if(upstream_response.status() != status_ok || !last_event_id(state)) {
+        return false;
+    }
+    const bool same_type = http::media_type(upstream_response.headers()) == state.stream_media_type;
+    return state.head_sent ? same_type : is_event_stream(upstream_response);
+}
+
+asio::awaitable<forwarder::attempt_result> forwarder::relay_continuation(
+    exchange_state& state, const std::string& upstream, http::response_stream& upstream_response) {
+    if(!is_continuation(state, upstream_response)) {
+        upstream_response.close();
+        co_return this->handle_broken_stream(state, upstream,
+            core::error{.cause = core::reason::protocol_error,
+                .verdict = core::verdict::may_have_run,
+                .message = "status " + std::to_string(upstream_response.status()) + " does not go on with the stream"});
+    }
+    state.splitter.begin_continuation(*last_event_id(state));
+    co_return co_await this->relay_stream(state, upstream, upstream_response);
+}
+
 core::error forwarder::unknown_version_error(const exchange_state& state) {
     return core::error{.cause = core::reason::unavailable,
         .verdict = state.verdict,
--- a/src/lagoonsaddle/edge/internal_exchange.hpp
+++ b/src/lagoonsaddle/edge/internal_exchange.hpp
@@ -88,6 +88,8 @@
 
     bool head_sent{false};
     event_splitter splitter{};
+    /*! @brief Media type of the response that began the stream; empty when it states none, or before its head. */
+    std::string stream_media_type{};
     /*! @brief Whether the last response of an upstream had neither a length nor chunks. */
     bool close_delimited{false};
     std::optional<core::time_point> first_event_at{};
--- a/test/edge/event_splitter_test.cpp
+++ b/test/edge/event_splitter_test.cpp
@@ -57,6 +57,48 @@
     CHECK_FALSE(splitter.is_complete(true));
 }
 
+// Guards against an error message, or the head of another response, that reaches the caller as a part of its stream.
+TEST_CASE("feed_block_that_is_no_event_ends_the_events") {
+    for(const std::string_view block : {"HTTP/1.1 500 Internal Server Error\r\nx-a: b\r\n\r\n", "upstream failed\n\n",
+            "{\"error\":\n\n", "id: 1\ndata: a\n\n", "<html>\n\n"}) {
+        CAPTURE(block);
+        event_splitter splitter{};
+        CHECK(splitter.feed("id: 1\ndata: a\n\n" + std::string{block}) == "id: 1\ndata: a\n\n");
+        CHECK(splitter.is_malformed());
+        CHECK(splitter.feed("id: 2\ndata: b\n\n").empty());
+        CHECK_FALSE(splitter.is_complete(false));
+        CHECK(splitter.last_id() == 1u);
+    }
+}
+
+// Guards against turning down a sound stream: fields of the upstream's own, comments and line breaks are allowed.
+TEST_CASE("feed_events_with_other_fields_and_comments_are_passed_on") {
+    const std::string stream{"x-weight-versions: 3\nid: 1\ndata: a: b\n\n: ping\n\nid: 2\ndata\n\nevent: end\n\n"};
+    event_splitter splitter{};
+    CHECK(splitter.feed(stream) == stream);
+    CHECK(splitter.is_complete(true));
+    CHECK(splitter.event_count() == 3u);
+    CHECK_FALSE(splitter.is_resumable());
+}
+
+// Guards against a resumed stream that starts again, holds events without a place in it, or looks complete without any.
+TEST_CASE("begin_continuation_accepts_only_events_that_follow") {
+    for(const std::string_view block : {"id: 4\ndata: x\n\n", "id: 1\ndata: x\n\n", "data: x\n\n"}) {
+        CAPTURE(block);
+        event_splitter splitter{};
+        splitter.begin_continuation(4u);
+        CHECK(splitter.feed(block).empty());
+        CHECK(splitter.is_malformed());
+    }
+    event_splitter splitter{};
+    splitter.begin_continuation(4u);
+    CHECK(splitter.feed(": ping\n\n\n").empty());
+    CHECK_FALSE(splitter.is_complete(false));
+    CHECK(splitter.feed("id: 5\ndata: x\n\n: ping\n\n") == "id: 5\ndata: x\n\n: ping\n\n");
+    CHECK(splitter.is_complete(false));
+    CHECK(splitter.last_id() == 5u);
+}
+
 // Guards against resuming after an event that was never delivered: a partial event must not set the last id.
 TEST_CASE("begin_response_keeps_last_complete_id") {
     event_splitter splitter{};
