edge: the only version of an outdated list begins no streams

Cause: a node that is cut off from the store and its peers while engines of a new software version join resumed streams of that version at the old one. When no replica told where a stream began, the node took it for one of the only version in its list of upstreams, which counts as current for 4 s after the last answer of the store. Change: that conclusion needs a read of the store's current data that began after the question. Without an answer the request is refused as not run. A stream whose origin no replica has is now refused in the first 4 s of an outage of the store as well, as it was after them.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -74,6 +74,8 @@
               .log = this->log, .upstreams = this->upstreams, .membership = *this->membership, .peers = this->peers},
           this->settings.name},
       archive{stream_archive_options{.node_name = this->settings.name}},
+      unseen{std::make_shared<unseen_versions>(
+          this->context.io, this->context.clock, [this] { return this->read_unseen_upstreams(); })},
       origins{stream_origin_context{.io = this->context.io,
                   .clock = this->context.clock,
                   .log = this->log,
@@ -81,7 +83,8 @@
                   .upstreams = this->upstreams,
                   .membership = *this->membership,
                   .peers = this->peers,
-                  .archive = this->archive},
+                  .archive = this->archive,
+                  .unseen = *this->unseen},
           this->settings.name},
       paths{std::make_shared<upstream_paths>(upstream_paths_context{.io = this->context.io,
                                                  .clock = this->context.clock,
@@ -261,11 +264,24 @@
            this->configuration_updates->state() != configuration_state::unknown;
 }
 
-bool entry_node::impl::entries_expire() const {
-    const auto now = this->context.clock.now();
+record_watcher* entry_node::impl::upstream_watcher() const {
     const auto watcher = std::ranges::find_if(
         this->watchers, [](const auto& candidate) { return candidate->kind() == record_kind::upstreams; });
-    const auto last_success = watcher == this->watchers.end() ? std::nullopt : (*watcher)->last_success();
+    return watcher == this->watchers.end() ? nullptr : watcher->get();
+}
+
+asio::awaitable<core::result<record_page>> entry_node::impl::read_unseen_upstreams() {
+    auto* watcher = this->upstream_watcher();
+    if(watcher == nullptr) {
+        co_return core::fail(core::reason::unavailable, "the node has not started to read the store");
+    }
+    co_return co_await watcher->read_ahead();
+}
+
+bool entry_node::impl::entries_expire() const {
+    const auto now = this->context.clock.now();
+    const auto* watcher = this->upstream_watcher();
+    const auto last_success = watcher == nullptr ? std::nullopt : watcher->last_success();
     const bool answering = last_success && now - *last_success < store_silence_max;
     return answering && (!this->store_returned || now - *this->store_returned >= entry_expiry_time);
 }
--- a/src/lagoonsaddle/edge/internal_entry_node.hpp
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -19,6 +19,7 @@
 #include <lagoonsaddle/edge/record_watcher.hpp>
 #include <lagoonsaddle/edge/status_handlers.hpp>
 #include <lagoonsaddle/edge/stream_origin_service.hpp>
+#include <lagoonsaddle/edge/unseen_versions.hpp>
 #include <lagoonsaddle/edge/upstream_paths.hpp>
 #include <lagoonsaddle/http/server.hpp>
 #include <lagoonsaddle/relay/relay_server.hpp>
@@ -78,6 +79,10 @@
     void announce_leaving(const std::string& id, std::string_view source);
     void start_watcher(
         record_kind kind, std::chrono::milliseconds timeout, std::chrono::milliseconds delay_after_changes);
+    /*! @brief Returns the watcher of the upstreams, or null before the start. */
+    [[nodiscard]] record_watcher* upstream_watcher() const;
+    /*! @brief Reads the changes of upstreams that this node has not applied yet. */
+    [[nodiscard]] boost::asio::awaitable<core::result<record_page>> read_unseen_upstreams();
     /*! @brief Returns whether the store answers and has removed the entries of upstreams that ended before. */
     [[nodiscard]] bool entries_expire() const;
     /*! @brief Periodically removes expired upstreams and flushes the log. */
@@ -102,6 +107,7 @@
         .suspect_duration = internal::suspect_duration}};
     prompt_part_guard prompt_parts;
     stream_archive archive;
+    std::shared_ptr<unseen_versions> unseen;
     stream_origin_service origins;
     partitioned_nodes partitions{};
     std::shared_ptr<upstream_paths> paths;
--- a/src/lagoonsaddle/edge/record_watcher.cpp
+++ b/src/lagoonsaddle/edge/record_watcher.cpp
@@ -37,6 +37,18 @@
         this->settings.kind, *this->last_revision, this->next_watch_timeout(), this->settings.required_freshness());
 }
 
+asio::awaitable<core::result<record_page>> record_watcher::read_ahead() {
+    if(!this->last_revision || !this->last_epoch) {
+        co_return core::fail(core::reason::unavailable, "the records have not been listed yet");
+    }
+    auto page = co_await this->store.watch(
+        this->settings.kind, *this->last_revision, this->settings.probe_timeout, freshness::exact);
+    if(page && page->epoch != this->last_epoch) {
+        co_return core::fail(core::reason::conflict, "the store was restored from a copy");
+    }
+    co_return page;
+}
+
 void record_watcher::handle_failure(const core::error& failure, bool is_list, core::duration elapsed) {
     this->log.write(log_line{"store_call_failed"}
                         .add("kind", to_string(this->settings.kind))
--- a/src/lagoonsaddle/edge/record_watcher.hpp
+++ b/src/lagoonsaddle/edge/record_watcher.hpp
@@ -75,6 +75,13 @@
     /*! @brief Runs until the process ends. */
     [[nodiscard]] boost::asio::awaitable<void> run();
 
+    /**
+     * @brief Reads the changes that have not been passed on yet from the store's current data, and leaves them to
+     * `run`.
+     * @return The changes; `unavailable` before the first list, `conflict` when they cannot be told, or another error.
+     */
+    [[nodiscard]] boost::asio::awaitable<core::result<record_page>> read_ahead();
+
     [[nodiscard]] record_kind kind() const noexcept {
         return this->settings.kind;
     }
--- a/src/lagoonsaddle/edge/stream_origin_service.cpp
+++ b/src/lagoonsaddle/edge/stream_origin_service.cpp
@@ -180,13 +180,29 @@
         this->log_result(request, &*found.origin, source);
         co_return known ? found.origin : std::nullopt;
     }
-    if(found.versions_complete && found.versions.size() == 1u) {
-        stream_origin only{.service = std::move(service), .software_version = *found.versions.begin()};
-        this->log_result(request, &only, "only_version");
-        co_return only;
+    auto only_version = co_await this->find_only_version(service, std::move(found));
+    if(!only_version) {
+        this->log_result(request, nullptr, "none");
+        co_return std::nullopt;
     }
-    this->log_result(request, nullptr, "none");
-    co_return std::nullopt;
+    stream_origin only{.service = std::move(service), .software_version = std::move(*only_version)};
+    this->log_result(request, &only, "only_version");
+    co_return only;
+}
+
+asio::awaitable<std::optional<std::string>> stream_origin_service::find_only_version(
+    std::string service, findings found) {
+    if(!found.versions_complete || found.versions.size() != 1u) {
+        co_return std::nullopt;
+    }
+    // Upstreams of another version may have joined since the last answer of the store, and begun the stream.
+    const auto joined = co_await this->context.unseen.read(service);
+    if(!joined) {
+        co_return std::nullopt;
+    }
+    found.versions.insert(joined->begin(), joined->end());
+    found.versions.merge(this->look_up({}, service).versions);
+    co_return found.versions.size() == 1u ? std::optional{*found.versions.begin()} : std::nullopt;
 }
 
 void stream_origin_service::log_result(std::string_view request, const stream_origin* origin, std::string_view source) {
--- a/src/lagoonsaddle/edge/stream_origin_service.hpp
+++ b/src/lagoonsaddle/edge/stream_origin_service.hpp
@@ -22,6 +22,7 @@
 #include <lagoonsaddle/edge/stream_archive.hpp>
 #include <lagoonsaddle/edge/stream_archive_service.hpp>
 #include <lagoonsaddle/edge/stream_origin_table.hpp>
+#include <lagoonsaddle/edge/unseen_versions.hpp>
 #include <lagoonsaddle/edge/upstream_table.hpp>
 #include <lagoonsaddle/wire/messages.hpp>
 
@@ -37,6 +38,7 @@
     cluster::membership_service& membership;
     cluster::peer_directory& peers;
     stream_archive& archive;
+    unseen_versions& unseen;
 };
 
 /**
@@ -45,8 +47,9 @@
  * The node that passes on the first event keeps the origin and sends it to a few nodes that follow from the id of the
  * request (`select_replicas`); the node at which the stream is resumed asks the same ones. What outlives all nodes is
  * in the store (`stream_archive`). When no node knows the stream, it can only have begun at the one software version
- * that its service has had for as long as a stream can last; if there were several, or no node has seen that long, the
- * origin is unknown. Must only be used from the thread that runs the `io_context`.
+ * that its service has had for as long as a stream can last; if there were several, no node has seen that long, or the
+ * store does not confirm that no other version has joined until now, the origin is unknown. Must only be used from the
+ * thread that runs the `io_context`.
  */
 class stream_origin_service {
 public:
@@ -102,6 +105,9 @@
     [[nodiscard]] findings look_up(std::string_view request, std::string_view service) const;
     /*! @brief Adds what the replicas know, until one of them knows the stream. */
     [[nodiscard]] boost::asio::awaitable<void> ask_replicas(wire::stream_origin_get question, findings& found);
+    /*! @brief Returns the only version at which a stream that no node knows can have begun, or nothing. */
+    [[nodiscard]] boost::asio::awaitable<std::optional<std::string>> find_only_version(
+        std::string service, findings found);
     /*! @brief Returns the names of the nodes that keep the origin of a stream, without this one. */
     [[nodiscard]] std::vector<std::string> replicas_of(std::string_view request) const;
     void log_result(std::string_view request, const stream_origin* origin, std::string_view source);
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -365,6 +365,12 @@
     prompt_part_guard prompt_parts{
         {.log = log, .upstreams = upstreams, .membership = *membership, .peers = peers}, "n"};
     stream_archive archive{{.node_name = "n"}};
+    /*! @brief What the store answers when it is asked for upstreams that the node has not seen yet. */
+    core::result<record_page> unseen_upstreams{record_page{}};
+    std::shared_ptr<unseen_versions> unseen{std::make_shared<unseen_versions>(
+        node_context, clock,
+        [this]() -> asio::awaitable<core::result<record_page>> { co_return this->unseen_upstreams; },
+        unseen_versions_options{.read_interval = 0ms})};
     stream_origin_service origins{stream_origin_context{.io = node_context,
                                       .clock = clock,
                                       .log = log,
@@ -372,7 +378,8 @@
                                       .upstreams = upstreams,
                                       .membership = *membership,
                                       .peers = peers,
-                                      .archive = archive},
+                                      .archive = archive,
+                                      .unseen = *unseen},
         "n"};
     partitioned_nodes partitions{};
     std::shared_ptr<upstream_paths> paths{std::make_shared<upstream_paths>(upstream_paths_context{.io = node_context,
@@ -564,6 +571,24 @@
     CHECK(this->upstream.received.size() == 1u);
 }
 
+// Guards against a stream that goes on at the only version of an outdated list, while it began at an upstream that has
+// joined since; and against the same when the store cannot tell.
+TEST_CASE_FIXTURE(forwarder_fixture, "handle_resumed_stream_with_outdated_list_of_upstreams_is_refused") {
+    this->run_on_node([this] {
+        this->upstreams.set_current(true, this->clock.now() - 60s);
+        this->unseen_upstreams = core::fail(core::reason::unavailable, "the store does not answer");
+    });
+    CHECK(this->send(this->make_resumed_request())->status == 503u);
+    this->run_on_node([this] {
+        record_page joined{};
+        joined.records.push_back(
+            {.name = "u3", .value = upstream_entry{.id = "u3", .service = "s", .software_version = "v2"}});
+        this->unseen_upstreams = std::move(joined);
+    });
+    CHECK(this->send(this->make_resumed_request())->status == 503u);
+    CHECK(this->upstream.received.empty());
+}
+
 // Guards against a first event that reaches the caller before the origin of its stream is recorded, under the request
 // that brought the first event.
 TEST_CASE_FIXTURE(forwarder_fixture, "handle_first_event_records_origin_of_stream") {
--- a/test/platform_node/software_version_test.py
+++ b/test/platform_node/software_version_test.py
@@ -96,14 +96,19 @@
     def is_mixed(self):
         return len({version for _, version in self.events}) > 1
 
-    def send(self, node, request_id, path=CALLER_PATH):
-        """Sends the next request for the stream and reads its events until they end or break off."""
-        headers = {"Host": "h", "X-Attempt-Id": request_id, "X-Model": f"m/{self.adapter}", "X-Token-Count": "10,4",
-                   "X-Deadline-Ms": str(DEADLINE_MS)}
+    def headers(self, request_id):
+        """Returns the header fields of the next request for the stream."""
+        fields = {"Host": "h", "X-Attempt-Id": request_id, "X-Model": f"m/{self.adapter}", "X-Token-Count": "10,4",
+                  "X-Deadline-Ms": str(DEADLINE_MS)}
         if self.events:
-            headers["Last-Event-Id"] = str(self.events[-1][0])
+            fields["Last-Event-Id"] = str(self.events[-1][0])
         if self.first_request:
-            headers["Resumes"] = self.first_request
+            fields["Resumes"] = self.first_request
+        return fields
+
+    def send(self, node, request_id, path=CALLER_PATH):
+        """Sends the next request for the stream and reads its events until they end or break off."""
+        headers = self.headers(request_id)
         begin = time.monotonic()
         connection = http.client.HTTPConnection(node.ip, node.ports[0], timeout=30)
         try:
