edge: the watch of a queued attempt is started outside of co_await

Cause: started it in an expression with co_await; g++ 12 destroys such temporaries twice, and nodes ended with "corrupted double-linked list". Change: the executor is a named variable (docs/developing.md, compiler notes).

--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -287,9 +287,10 @@
     known->pending_tokens += placed.cold_tokens;
     const auto queued = this->make_queued_attempt(state, upstream);
     if(!queued->adapter.empty()) {
+        // A named variable, because g++ 12 destroys temporaries of a co_await expression twice.
+        const auto executor = co_await asio::this_coro::executor;
         asio::co_spawn(
-            co_await asio::this_coro::executor, [this, queued] { return this->cancel_when_outdated(queued); },
-            asio::detached);
+            executor, [this, queued] { return this->cancel_when_outdated(queued); }, asio::detached);
     }
     auto exchange = co_await this->open_exchange(state, upstream);
     attempt_timer.cancel();
