edge: no aggregate is constructed in the co_await of an origin's lookup

Cause: find_only_version took its findings by value in an expression with co_await, which g++ 12 may destroy twice (docs/developing.md). No failure was seen; found when the change was read again after. Change: references, as the caller waits for the result; the page that was read has a name.

--- a/src/lagoonsaddle/edge/stream_origin_service.cpp
+++ b/src/lagoonsaddle/edge/stream_origin_service.cpp
@@ -180,7 +180,7 @@
         this->log_result(request, &*found.origin, source);
         co_return known ? found.origin : std::nullopt;
     }
-    auto only_version = co_await this->find_only_version(service, std::move(found));
+    auto only_version = co_await this->find_only_version(service, found);
     if(!only_version) {
         this->log_result(request, nullptr, "none");
         co_return std::nullopt;
@@ -191,7 +191,7 @@
 }
 
 asio::awaitable<std::optional<std::string>> stream_origin_service::find_only_version(
-    std::string service, findings found) {
+    const std::string& service, findings& found) {
     if(!found.versions_complete || found.versions.size() != 1u) {
         co_return std::nullopt;
     }
--- a/src/lagoonsaddle/edge/stream_origin_service.hpp
+++ b/src/lagoonsaddle/edge/stream_origin_service.hpp
@@ -107,7 +107,7 @@
     [[nodiscard]] boost::asio::awaitable<void> ask_replicas(wire::stream_origin_get question, findings& found);
     /*! @brief Returns the only version at which a stream that no node knows can have begun, or nothing. */
     [[nodiscard]] boost::asio::awaitable<std::optional<std::string>> find_only_version(
-        std::string service, findings found);
+        const std::string& service, findings& found);
     /*! @brief Returns the names of the nodes that keep the origin of a stream, without this one. */
     [[nodiscard]] std::vector<std::string> replicas_of(std::string_view request) const;
     void log_result(std::string_view request, const stream_origin* origin, std::string_view source);
--- a/src/lagoonsaddle/edge/unseen_versions.cpp
+++ b/src/lagoonsaddle/edge/unseen_versions.cpp
@@ -45,7 +45,8 @@
     while(!this->waiting.empty()) {
         const auto questions = std::exchange(this->waiting, {});
         const auto begin = this->clock.now();
-        const auto page = std::make_shared<const core::result<record_page>>(co_await this->read_changes());
+        auto changes = co_await this->read_changes();
+        const auto page = std::make_shared<const core::result<record_page>>(std::move(changes));
         for(const auto& question : questions) {
             question->push(page);
         }
