test: the forwarder's fixture waits for its handlers

A test ends when its caller has the whole response; the handler may still wait for the end of its write, and is then destroyed with the context of the node, after the members that it uses. Change: the fixture waits until no request is in progress. No check has changed. Conclusion: a fault of the fixture; nodes end by exit of the process.

--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -262,12 +262,21 @@
     forwarder_fixture& operator=(const forwarder_fixture&) = delete;
 
     ~forwarder_fixture() {
+        this->wait_for_handlers();
         this->node_context.stop();
         this->caller_context.stop();
         this->node_thread.join();
         this->caller_thread.join();
     }
 
+    /*! @brief Waits until no request is in progress: its handler uses members that are destroyed before the context. */
+    void wait_for_handlers() {
+        bool active{true};
+        while(active) {
+            this->run_on_node([this, &active] { active = this->caller_server.active_requests() > 0u; });
+        }
+    }
+
     /*! @brief Runs an action on the thread of the forwarder and waits for its end. */
     void run_on_node(const std::function<void()>& action) {
         std::promise<void> done{};
