test: the stand-ins' listeners hold a burst of new connections

The listeners of the stand-ins had socketserver's default queue of 5. The burst after the adapters' loads overflowed it; the system drops such connections and repeats them after 1 s and 3 s more, and the callers' deadline is 4 s. Ruled out: an unfair queue in the stand-in (in order of arrival: the longest time stayed at 2.6 to 3.2 s). Change: a queue of 128. The checks and bounds are as before.

--- a/test/platform_node/standin.py
+++ b/test/platform_node/standin.py
@@ -39,6 +39,9 @@
     """Serves on a free port of 127.0.0.1, one thread per connection."""
 
     daemon_threads = True
+    # With the default of 5, a burst of new connections overflows the queue of the listener: the system drops them, and
+    # tries again after 1 s and 3 s.
+    request_queue_size = 128
 
     def __init__(self):
         super().__init__(("127.0.0.1", 0), Handler)
