edge: a list of all leases tells which ones do not exist

Change: a lease that is not in the list counts as absent, unless the record is known, or the list is of an earlier epoch of the store.

--- a/src/lagoonsaddle/edge/entry_node_records.cpp
+++ b/src/lagoonsaddle/edge/entry_node_records.cpp
@@ -152,6 +152,9 @@
         return;
     }
     this->on_changes(kind, page);
+    if(kind == record_kind::leases) {
+        this->placement->on_leases_listed(page.epoch);
+    }
 }
 
 void entry_node::impl::on_changes(record_kind kind, const record_page& page) {
--- a/src/lagoonsaddle/edge/lease_tracker.cpp
+++ b/src/lagoonsaddle/edge/lease_tracker.cpp
@@ -57,6 +57,13 @@
     this->valid_until = core::time_point::min();
 }
 
+void lease_tracker::observe_unlisted(std::uint64_t list_epoch, core::time_point now) {
+    this->observe_epoch(list_epoch, now);
+    if(!this->record_known && list_epoch == this->epoch) {
+        this->observe_absent(now);
+    }
+}
+
 void lease_tracker::read_succeeded(const stored_lease& value, core::time_point started, core::time_point now) {
     this->failed_read_started.reset();
     this->observe(value, now);
--- a/src/lagoonsaddle/edge/lease_tracker.hpp
+++ b/src/lagoonsaddle/edge/lease_tracker.hpp
@@ -75,6 +75,10 @@
     /*! @brief Records that the lease does not exist in the store. */
     void observe_absent(core::time_point now);
 
+    /*! @brief Records that a list of all leases, read in an epoch of the store, lacks this one. Ignored when the record
+     * is known: it may have been written after the list was read. */
+    void observe_unlisted(std::uint64_t list_epoch, core::time_point now);
+
     /*! @brief Records a successful read that began at `started` and returned `record`. */
     void read_succeeded(const stored_lease& record, core::time_point started, core::time_point now);
 
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -59,7 +59,11 @@
         options.unreachable_takeover_wait = this->settings.lease_time + options.lease_duration;
         options.ended_takeover_wait = this->settings.lease_time;
     }
-    return this->leases.emplace(zone, lease_tracker{std::move(options)}).first->second;
+    auto& lease = this->leases.emplace(zone, lease_tracker{std::move(options)}).first->second;
+    if(this->leases_listed_in) {
+        lease.observe_unlisted(*this->leases_listed_in, this->context.clock.now());
+    }
+    return lease;
 }
 
 void placement_service::on_upstreams_changed() {
@@ -277,6 +281,13 @@
     }
 }
 
+void placement_service::on_leases_listed(std::uint64_t epoch) {
+    this->leases_listed_in = epoch;
+    for(auto& [zone, lease] : this->leases) {
+        lease.observe_unlisted(epoch, this->context.clock.now());
+    }
+}
+
 bool placement_service::zone_can_load(std::string_view zone) const {
     const auto found = this->leases.find(zone);
     if(found == this->leases.end() || !found->second.current()) {
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -109,6 +109,10 @@
     /*! @brief Applies a change of a lease record; null when the record was removed. */
     void on_lease_changed(const std::string& zone, const stored_lease* record);
 
+    /*! @brief Applies the end of a list of all leases, whose records were applied by `on_lease_changed`: the other
+     * leases do not exist, so that they need not be read one by one. */
+    void on_leases_listed(std::uint64_t epoch);
+
     /*! @brief Applies an announced version. Returns true when it is newer than the known one. */
     bool on_version_announced(const version_record& record);
 
@@ -166,6 +170,8 @@
     core::time_point started_at{};
     bool releasing{false};
     std::map<std::string, lease_tracker, std::less<>> leases{};
+    /*! @brief Epoch of the last list of all leases; nothing before the first one. */
+    std::optional<std::uint64_t> leases_listed_in{};
     /*! @brief Availability zones whose leases this node holds or tries to acquire. */
     std::set<std::string> maintained_zones{};
     std::map<std::string, std::shared_ptr<load_worker>, std::less<>> load_workers{};
--- a/test/edge/lease_tracker_test.cpp
+++ b/test/edge/lease_tracker_test.cpp
@@ -213,4 +213,23 @@
     CHECK_FALSE(this->tracker.may_order_loads(acquired_at + 1'900ms));
 }
 
+// Guards against a holder that loses its lease to a list that was read before the lease was acquired.
+TEST_CASE_FIXTURE(lease_tracker_fixture, "observe_unlisted_acquired_lease_stays_held") {
+    this->tracker.observe_unlisted(0u, this->now);
+    REQUIRE(this->time_to_acquire(holder_status::unknown, 0u));
+    auto acquisition = this->tracker.make_acquisition("z");
+    acquisition.revision = 1u;
+    this->tracker.acquired(acquisition, this->now, this->now);
+    this->tracker.read_succeeded(acquisition, this->now, this->now);
+    this->tracker.observe_unlisted(0u, this->now);
+    CHECK(this->tracker.is_holder());
+}
+
+// Guards against a list that is older than a restore of the store, after which each lease is read again.
+TEST_CASE_FIXTURE(lease_tracker_fixture, "observe_unlisted_list_of_earlier_epoch_is_ignored") {
+    this->tracker.observe_epoch(2u, this->now);
+    this->tracker.observe_unlisted(1u, this->now);
+    CHECK(this->tracker.next_action(holder_status::unknown, 0u, this->now) == lease_action::read);
+}
+
 } // namespace lagoonsaddle::edge
--- a/test/edge/placement_fixture.hpp
+++ b/test/edge/placement_fixture.hpp
@@ -38,6 +38,7 @@
     }
 
     boost::asio::awaitable<core::result<stored_lease>> read_lease(std::string zone) override {
+        ++this->lease_reads;
         const auto found = this->leases.find(zone);
         if(found == this->leases.end()) {
             co_return core::fail(core::reason::not_found, "no lease");
@@ -66,6 +67,7 @@
 
     std::uint64_t revisions{};
     std::uint64_t current_epoch{};
+    int lease_reads{};
     std::map<std::string, stored_lease> leases{};
 };
 
--- a/test/edge/placement_service_test.cpp
+++ b/test/edge/placement_service_test.cpp
@@ -95,4 +95,11 @@
     CHECK(this->acquire_lease());
 }
 
+// Guards against a read of each availability zone's lease by all nodes at the start of a fleet.
+TEST_CASE_FIXTURE(placement_fixture, "on_leases_listed_lease_is_not_read_before_it_is_acquired") {
+    this->placement->on_leases_listed(0u);
+    REQUIRE(this->acquire_lease());
+    CHECK(this->store.lease_reads == 0);
+}
+
 } // namespace lagoonsaddle::edge
