edge: a starting node leaves the leases of other zones to their nodes

A node that knew no node of a zone took part in the election of its holder: 123 writes for five leases, and a holder in trois-rivieres for louiseville and saint-tite, and one in berthierville for shawinigan, through which all requests for models of these zones were placed from then on. Change: nodes of other zones are candidates only once the membership has settled (3 s after the start). A zone without any node waits 3 s for its first holder after the start of all nodes.

--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -19,7 +19,7 @@
 constexpr std::chrono::milliseconds lease_check_interval{100};
 /*! @brief Delay after a write that did not release a lease. */
 constexpr std::chrono::milliseconds failed_release_delay{500};
-/*! @brief Time after the start of the node in which a holder that the membership does not list counts as unknown. */
+/*! @brief Time after the start of the node in which the membership may lack nodes that are alive. */
 constexpr std::chrono::seconds membership_settle_time{3};
 /*! @brief Interval at which evictions in progress are checked and waiting requests check their deadline. */
 constexpr std::chrono::milliseconds poll_interval{50};
@@ -160,7 +160,10 @@
             local.push_back(other.info.name);
         }
     }
-    const auto& candidates = local.empty() ? all : local;
+    // A node that has just started may not know the nodes of the zone yet, which place requests with fewer bytes
+    // between zones and less delay.
+    const bool settled = this->context.clock.now() - this->started_at >= membership_settle_time;
+    const auto& candidates = local.empty() && settled ? all : local;
     const auto order = core::rendezvous_rank(zone, candidates);
     for(std::size_t position{}; position < order.size(); ++position) {
         if(candidates[order[position]] == this->settings.node_name) {
--- a/test/edge/placement_service_test.cpp
+++ b/test/edge/placement_service_test.cpp
@@ -102,4 +102,19 @@
     CHECK(this->store.lease_reads == 0);
 }
 
+// Guards against holders in other availability zones: all nodes of a fleet start without knowing each other.
+TEST_CASE_FIXTURE(placement_fixture, "maintain_lease_started_node_leaves_other_zones_to_their_nodes") {
+    upstream_entry entry{.id = "u3",
+        .service = "s",
+        .availability_zone = "y",
+        .address = {.address = "127.0.0.1", .port = 3u},
+        .request_slots = 8u};
+    this->upstreams.update(entry, this->clock.now());
+    this->placement->on_leases_listed(0u);
+    this->placement->on_upstreams_changed();
+    REQUIRE(this->acquire_lease());
+    CHECK_FALSE(this->run_until([this] { return this->store.leases.contains("y"); }, std::chrono::milliseconds{1'500}));
+    CHECK(this->run_until([this] { return this->store.leases.contains("y"); }, std::chrono::milliseconds{4'000}));
+}
+
 } // namespace lagoonsaddle::edge
