edge: the first watch waits until the node knows its fleet

Cause: nodes use exact reads in a fleet of up to 16. Change: the first watch begins 0.5 s after the first list, which stays exact. Cost: what changes in the first 0.5 s of a node reaches it up to 0.5 s later, unless its peers tell it.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -42,6 +42,9 @@
 constexpr milliseconds short_watch_timeout{1'900};
 /*! @brief Watch timeout of records whose delay matters less. */
 constexpr milliseconds long_watch_timeout{5'000};
+/*! @brief Delay of the first watch of a node: before it has joined the fleet, it takes the fleet for a small one, whose
+ * nodes all use exact reads. */
+constexpr milliseconds first_watch_delay{500};
 
 } // namespace
 
@@ -252,6 +255,7 @@
             record_watcher_options{.kind = kind,
                 .watch_timeout = timeout,
                 .delay_after_changes = delay_after_changes,
+                .first_watch_delay = first_watch_delay,
                 .required_freshness = [this] {
                     return this->watch_freshness();
                 }}));
--- a/src/lagoonsaddle/edge/record_watcher.cpp
+++ b/src/lagoonsaddle/edge/record_watcher.cpp
@@ -96,6 +96,7 @@
         return stale_epoch_delay;
     }
     const bool restored = this->last_epoch && page.epoch > *this->last_epoch;
+    const bool is_first = !this->last_epoch;
     if(restored) {
         this->handle_restore(page);
     }
@@ -106,11 +107,13 @@
     this->last_revision = std::max(page.revision, this->last_revision.value_or(0u));
     if(is_list) {
         this->observer.on_list(this->settings.kind, page);
-    } else if(!page.records.empty()) {
-        this->observer.on_changes(this->settings.kind, page);
-        return this->settings.delay_after_changes;
+        return is_first ? this->settings.first_watch_delay : std::chrono::milliseconds{0};
     }
-    return std::chrono::milliseconds{0};
+    if(page.records.empty()) {
+        return std::chrono::milliseconds{0};
+    }
+    this->observer.on_changes(this->settings.kind, page);
+    return this->settings.delay_after_changes;
 }
 
 asio::awaitable<void> record_watcher::run() {
--- a/src/lagoonsaddle/edge/record_watcher.hpp
+++ b/src/lagoonsaddle/edge/record_watcher.hpp
@@ -25,6 +25,9 @@
     std::chrono::milliseconds probe_timeout{1};
     /*! @brief Delay after a watch that returned changes, which the store bills one by one. */
     std::chrono::milliseconds delay_after_changes{0};
+    /*! @brief Delay between the first list and the first watch, in which the node learns of its fleet, and so how fresh
+     * its reads have to be. */
+    std::chrono::milliseconds first_watch_delay{0};
     /*! @brief Called before each watch: how old its data may be. */
     std::function<freshness()> required_freshness{[] {
         return freshness::exact;
--- a/test/edge/record_watcher_test.cpp
+++ b/test/edge/record_watcher_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
 #include <lagoonsaddle/edge/record_watcher.hpp>
@@ -103,6 +104,7 @@
             {.kind = record_kind::upstreams,
                 .watch_timeout = watch_timeout,
                 .probe_timeout = probe_timeout,
+                .first_watch_delay = this->first_watch_delay,
                 .required_freshness = [this] {
                     return this->required_freshness;
                 }}};
@@ -130,6 +132,7 @@
     store_backoff backoff{this->context};
     recording_log log{};
     freshness required_freshness{freshness::exact};
+    std::chrono::milliseconds first_watch_delay{0};
 };
 
 } // namespace
@@ -196,4 +199,16 @@
           std::vector<std::chrono::milliseconds>{watch_timeout, probe_timeout, probe_timeout, watch_timeout});
 }
 
+// Guards against exact reads by all nodes of a large fleet at its start, when they have not met each other yet.
+TEST_CASE_FIXTURE(record_watcher_fixture, "run_first_watch_waits_until_the_fleet_is_known") {
+    this->first_watch_delay = std::chrono::milliseconds{60};
+    this->required_freshness = freshness::exact;
+    asio::steady_timer joined{this->context, std::chrono::milliseconds{30}};
+    joined.async_wait([this](const boost::system::error_code&) { this->required_freshness = freshness::stale; });
+    this->store.responses.emplace_back(page(5u, false));
+    this->store.responses.emplace_back(page(7u, true));
+    this->run();
+    CHECK(this->store.calls == string_list{"list", "watch 5 stale", "watch 7 stale"});
+}
+
 } // namespace lagoonsaddle::edge
