edge: the first record of streams waits until the services are in sight

Change: a node that has seen no upstream has nothing to record, and the first record is written 1.5 s after the first version was seen. Cost: streams that a node begins at services of several versions in its first 1.5 s are not recorded when all nodes lose power in this time (0.4 s before).

--- a/src/lagoonsaddle/edge/stream_archive.cpp
+++ b/src/lagoonsaddle/edge/stream_archive.cpp
@@ -116,7 +116,7 @@
 }
 
 bool stream_archive::is_outdated(std::uint64_t epoch) const noexcept {
-    return this->complete_from && (this->changed || this->written_epoch != epoch);
+    return this->complete_from && !this->version_ends.empty() && (this->changed || this->written_epoch != epoch);
 }
 
 stream_record stream_archive::make_record(std::uint64_t epoch, unix_time_type now) {
--- a/src/lagoonsaddle/edge/stream_archive.hpp
+++ b/src/lagoonsaddle/edge/stream_archive.hpp
@@ -81,7 +81,8 @@
     /*! @brief Returns whether all versions of a time before now are known. */
     [[nodiscard]] bool is_complete(std::chrono::milliseconds time, unix_time_type now) const;
 
-    /*! @brief Returns whether the record has to be written (again) in this epoch of the store. */
+    /*! @brief Returns whether the record has to be written (again) in this epoch of the store. A node that has seen no
+     * upstream has nothing to record. */
     [[nodiscard]] bool is_outdated(std::uint64_t epoch) const noexcept;
 
     /*! @brief Returns the record to write. It counts as written until `write_failed`. */
--- a/src/lagoonsaddle/edge/stream_archive_service.cpp
+++ b/src/lagoonsaddle/edge/stream_archive_service.cpp
@@ -49,7 +49,7 @@
     while(true) {
         this->context.archive.observe(this->observe_versions(), core::unix_time(), this->context.clock.now());
         auto delay = this->settings.poll_interval;
-        if(this->context.archive.is_outdated(this->context.store.epoch())) {
+        if(this->is_write_due()) {
             co_await this->write();
             delay = this->write_interval();
         }
@@ -57,6 +57,17 @@
     }
 }
 
+bool stream_archive_service::is_write_due() {
+    if(!this->context.archive.is_outdated(this->context.store.epoch())) {
+        return false;
+    }
+    const auto now = this->context.clock.now();
+    if(!this->first_write_at) {
+        this->first_write_at = now + this->settings.first_write_delay;
+    }
+    return now >= *this->first_write_at;
+}
+
 asio::awaitable<record_page> stream_archive_service::read_records() {
     while(true) {
         auto page = co_await this->context.store.list(record_kind::streams);
--- a/src/lagoonsaddle/edge/stream_archive_service.hpp
+++ b/src/lagoonsaddle/edge/stream_archive_service.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,9 @@
     std::string node_name{};
     /*! @brief Time between two looks at the upstreams and the archive. */
     std::chrono::milliseconds poll_interval{50};
+    /*! @brief Delay of the first write after a version was seen: the upstreams of other services may come into sight in
+     * this time. */
+    std::chrono::milliseconds first_write_delay{1'500};
     /*! @brief Shortest time between two writes of a node: streams that begin in it are not written yet. */
     std::chrono::milliseconds write_interval_min{400};
     /*! @brief Time between two writes of all nodes together, which limits the calls of a large fleet. */
@@ -72,6 +76,8 @@
     /*! @brief Reads the records and the revision of this node's one, as soon as the store answers. */
     [[nodiscard]] boost::asio::awaitable<record_page> read_records();
     void load(const record_page& page);
+    /*! @brief Returns whether the record is outdated and the first write need not wait any longer. */
+    [[nodiscard]] bool is_write_due();
     [[nodiscard]] boost::asio::awaitable<void> write();
     [[nodiscard]] version_observation observe_versions() const;
     [[nodiscard]] std::chrono::milliseconds write_interval() const;
@@ -81,6 +87,8 @@
     load_function on_loaded;
     /*! @brief Revision of this node's record; 0 while there is none. */
     std::uint64_t revision{};
+    /*! @brief Time of the first write; nothing until the archive has something to write. */
+    std::optional<core::time_point> first_write_at{};
     bool loaded{false};
 };
 
--- a/test/edge/stream_archive_test.cpp
+++ b/test/edge/stream_archive_test.cpp
@@ -74,6 +74,15 @@
     CHECK(this->archive.is_outdated(epoch));
 }
 
+// Guards against calls of all nodes to the store at the start of a fleet, before its upstreams have registered.
+TEST_CASE_FIXTURE(stream_archive_fixture, "is_outdated_no_upstream_seen_needs_no_record") {
+    this->archive = stream_archive{{.node_name = "n"}};
+    this->observe({});
+    CHECK_FALSE(this->archive.is_outdated(epoch));
+    this->observe({"v1"});
+    CHECK(this->archive.is_outdated(epoch));
+}
+
 // Guards against streams that are lost because they began before the second version came.
 TEST_CASE_FIXTURE(stream_archive_fixture, "make_record_second_version_holds_streams_of_before") {
     this->add("r");
