--- a/src/lagoonsaddle/edge/forwarder_versions.cpp
+++ b/src/lagoonsaddle/edge/forwarder_versions.cpp
@@ -17,7 +17,7 @@
 /*! @brief Time for which an older version of an adapter may still be chosen after a newer one was announced. */
 constexpr milliseconds old_version_grace{2'500};
 /*! @brief Time after the announcement from which no request may begin at an older version. The platform allows 5 s from
- * the announcement itself, which reaches this node up to a second or so later. */
+ * the announcement itself, which this node may learn of later. */
 constexpr milliseconds old_version_end{3'500};
 constexpr milliseconds check_interval{250};
 
