cluster: the last frames of a node that has left are read

Cause: the notice that a node has left arrives by gossip, and closed the connection to it at once, with frames unread. Change: such a connection is no longer used, and is closed 2 s later; the process closes it when it ends. Connections to nodes that are dead or have restarted are closed at once as before. Relayed exchanges through a node that has left are not cancelled either.

--- a/src/lagoonsaddle/cluster/peer_directory.cpp
+++ b/src/lagoonsaddle/cluster/peer_directory.cpp
@@ -1,6 +1,12 @@
+#include <chrono>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <lagoonsaddle/cluster/peer_directory.hpp>
 
@@ -8,6 +14,17 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/*! @brief Time in which the last frames of a node that has left are read. */
+constexpr std::chrono::milliseconds left_node_read_time{2'000};
+
+} // namespace
+
+bool has_failed(const fleet::member_change& change) noexcept {
+    return change.restarted || change.member.state == fleet::member_state::dead;
+}
+
 peer_directory::peer_directory(asio::io_context& io_context, const membership_service& members, wire::hello self)
     : context{io_context}, membership{members}, hello_message{std::move(self)} {}
 
@@ -38,18 +55,31 @@
     return names;
 }
 
-void peer_directory::disconnect(std::string_view node) {
+void peer_directory::end_connection(const fleet::member_change& change) {
     std::shared_ptr<wire::peer_client> removed{};
     {
         const std::lock_guard lock{this->mutex};
-        const auto found = this->connections.find(node);
+        const auto found = this->connections.find(change.member.info.name);
         if(found == this->connections.end()) {
             return;
         }
         removed = std::move(found->second.client);
         this->connections.erase(found);
     }
-    removed->close();
+    if(has_failed(change)) {
+        removed->close();
+        return;
+    }
+    // The process closes the connection when it ends; the timer is for one whose end does not arrive.
+    asio::co_spawn(
+        this->context,
+        [client = std::move(removed)]() -> asio::awaitable<void> {
+            asio::steady_timer timer{co_await asio::this_coro::executor, left_node_read_time};
+            boost::system::error_code ignored{};
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            client->close();
+        },
+        asio::detached);
 }
 
 void peer_directory::broadcast(wire::message_type type, const std::string& body) {
--- a/src/lagoonsaddle/cluster/peer_directory.hpp
+++ b/src/lagoonsaddle/cluster/peer_directory.hpp
@@ -16,6 +16,9 @@
 
 namespace lagoonsaddle::cluster {
 
+/*! @brief Returns whether a member is gone without having left as planned. */
+[[nodiscard]] bool has_failed(const fleet::member_change& change) noexcept;
+
 /*! @brief Connections to the other nodes, by node name. Thread-safe. */
 class peer_directory {
 public:
@@ -41,10 +44,14 @@
     [[nodiscard]] std::vector<std::string> live_peer_names() const;
 
     /**
-     * @brief Closes the connection to a dead or restarted node so that its outstanding requests fail immediately.
-     * @param node Name of the node.
+     * @brief Ends the connection to a node that is no longer live or has restarted.
+     *
+     * Outstanding requests to a node that has failed fail at once. One that has left as planned has answered all of
+     * them, but its last frames may not have been read yet: its connection is no longer used, and closed only later.
+     *
+     * @param change Change of the node.
      */
-    void disconnect(std::string_view node);
+    void end_connection(const fleet::member_change& change);
 
     /*! @brief Returns the name of this node. */
     [[nodiscard]] const std::string& local_node_name() const noexcept {
--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -219,8 +219,10 @@
         const auto& other = change.member;
         this->log.write(log_line{"member"}.add("node", other.info.name).add("state", fleet::to_string(other.state)));
         if(!other.is_live() || change.restarted) {
-            this->peers.disconnect(other.info.name);
+            this->peers.end_connection(change);
             this->dispatch->remove_node(other.info.name);
+        }
+        if(cluster::has_failed(change)) {
             this->paths->cancel_exchanges(other.info.name);
         }
     });
--- a/src/lagoonsaddle/gateway/node.cpp
+++ b/src/lagoonsaddle/gateway/node.cpp
@@ -345,7 +345,7 @@
         this->observer.on_event(
             "member_changed", change.member.info.name, std::string{fleet::to_string(change.member.state)});
         if(!change.member.is_live() || change.restarted) {
-            this->peer_connections.disconnect(change.member.info.name);
+            this->peer_connections.end_connection(change);
             this->load_scheduling->remove_node(change.member.info.name);
             this->config_objects->forget_node(change.member.info.name);
         }
