http: a stopping node waits for requests that are still received

Callers saw: a request whose body was still being sent was cut 3 s after SIGTERM when the process was otherwise idle, though 8 s are granted, and got no answer. Cause: a request counted as active from the end of its body. Change: it counts from its first byte. Evidence: SlowBodyTest failed on (no answer) and passes.

--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -195,6 +195,7 @@
             }
             this->buffer.commit(count);
         }
+        const activity counted{this->owner->active};
         this->stream.expires_after(this->owner->options.request_timeout);
         co_await beast_http::async_read_header(
             this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
@@ -224,9 +225,7 @@
             .body = std::move(head.body())};
 
         this->handling = true;
-        ++this->owner->active;
         co_await this->handle(std::move(message));
-        --this->owner->active;
         this->handling = false;
         this->disconnect_callback = nullptr;
         co_return this->open && !this->body_unfinished && this->keeps_alive();
@@ -277,6 +276,24 @@
         }
     }
 
+    /*! @brief Counts a request from its first byte until its response has been sent. */
+    class activity {
+    public:
+        explicit activity(std::atomic<std::size_t>& counter) : count{counter} {
+            ++this->count;
+        }
+
+        activity(const activity&) = delete;
+        activity& operator=(const activity&) = delete;
+
+        ~activity() {
+            --this->count;
+        }
+
+    private:
+        std::atomic<std::size_t>& count;
+    };
+
     /*! @brief HTTP/1.1 as a number of Beast. */
     static constexpr unsigned http_1_1{11u};
     static constexpr std::string_view continue_head{"HTTP/1.1 100 Continue\r\n\r\n"};
--- a/src/lagoonsaddle/http/server.hpp
+++ b/src/lagoonsaddle/http/server.hpp
@@ -120,7 +120,7 @@
     /*! @brief Returns the port that the server listens on, valid after `start`. */
     [[nodiscard]] std::uint16_t port() const noexcept;
 
-    /*! @brief Returns the number of requests being handled. */
+    /*! @brief Returns the number of requests that are being received or handled. */
     [[nodiscard]] std::size_t active_requests() const noexcept;
 
     /*! @brief From now on responses close their connections. New connections are still accepted. */
--- a/test/platform_node/planned_stop_test.py
+++ b/test/platform_node/planned_stop_test.py
@@ -1,11 +1,15 @@
 """Tests the planned stop of an entry node whose callers keep using their open connections until the process is gone."""
 
+import contextlib
 import http.client
+import itertools
 import signal
+import socket
 import threading
 import time
 import unittest
 
+import standin
 from entry_node_case import COMPLETE_STREAM, CONDITION_TIMEOUT_S, EntryNodeCase
 
 CALLERS = 24
@@ -13,6 +17,9 @@
 # A request may go without an answer only when it crosses the close of its connection: when it was sent less than LOST_S
 # before the end and reached no engine.
 LOST_S = 0.2
+# Time for which a balancer may send requests to a stopping node, and the time that it has in all.
+IN_USE_S = 3.0
+GRACE_S = 8.0
 
 
 class Call:
@@ -23,6 +30,57 @@
         self.status, self.body = 0, None
 
 
+class LoadingEngine(standin.Engine):
+    """An engine with places for many adapters."""
+
+    def __init__(self, store, name, zone):
+        super().__init__(store, name, zone, slots=400)
+
+
+class SlowBodyTest(EntryNodeCase):
+    """One node that is terminated while a caller sends the body of a request."""
+
+    def test_request_whose_body_is_still_sent_is_answered(self):
+        """A request that began before the end of the use of a node must be answered within its grace."""
+        self.start_fleet(1)
+        node, request_id = self.nodes[0], next(self.ids)
+        head = (f"POST /a/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {request_id}\r\nX-Model: m/a0\r\n"
+                f"X-Token-Count: 10,4\r\nX-Deadline-Ms: 2000\r\nContent-Length: 4\r\n\r\n")
+        with contextlib.closing(socket.create_connection((node.ip, node.ports[0]), timeout=GRACE_S)) as connection:
+            connection.sendall(head.encode() + b"ab")
+            node.process.send_signal(signal.SIGTERM)
+            time.sleep((IN_USE_S + GRACE_S) / 2)
+            connection.sendall(b"cd")
+            answer = b""
+            while piece := connection.recv(65_536):
+                answer += piece
+        # It has run, or it is refused as not run: it may not be left without an answer.
+        self.assertRegex(answer.decode(), r"\AHTTP/1\.1 (200|503) ")
+        self.assertEqual(0, node.process.wait(CONDITION_TIMEOUT_S))
+
+
+class LastNodeTest(EntryNodeCase):
+    """The only node is terminated; callers ask for adapters that are not resident yet."""
+
+    ENGINE_TYPE = LoadingEngine
+
+    def test_only_node_loads_adapters_while_it_is_in_use(self):
+        """A node without a successor must keep its leases for as long as it gets requests."""
+        self.start_fleet(1)
+        node, refused = self.nodes[0], []
+        node.process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + IN_USE_S - 1.0
+        for number in itertools.count():
+            if time.monotonic() > end:
+                break
+            status, body = node.send_request(next(self.ids), f"cold{number}", deadline_ms=2_000)
+            if (status, body) != (200, COMPLETE_STREAM.format(f"cold{number}")):
+                refused.append((number, status, body))
+        self.assertEqual([], refused)
+        self.assertEqual(0, node.process.wait(CONDITION_TIMEOUT_S))
+        self.assertEqual("", self.store.objects[("load-leases", "z")]["spec"]["holder"])
+
+
 class PlannedStopTest(EntryNodeCase):
     """One node that is terminated under load."""
 
