edge: a node gets a version from the peer that has announced it

Callers saw: with one of 63 nodes able to read the store, a route was in force at the last node 0.3 to 4 s after the first. Cause: an announcement named a version and not who has it; nodes asked three peers a round in the order of the list, all the same ones in the same round. Change: an announcement may name its holder, which is asked at once; rounds ask holders first, and otherwise peers drawn at random.

--- a/src/lagoonsaddle/edge/configuration_sync.cpp
+++ b/src/lagoonsaddle/edge/configuration_sync.cpp
@@ -35,7 +35,7 @@
 
 configuration_sync::configuration_sync(
     configuration_sync_context uses, configuration_sync_options options, apply_function receiver)
-    : context{uses}, settings{options}, apply{std::move(receiver)}, started{this->context.clock.now()} {}
+    : context{uses}, settings{options}, apply{std::move(receiver)}, started{this->context.clock.now()}, random{options.seed} {}
 
 bool configuration_sync::is_behind() const noexcept {
     return this->context.routes.version() < this->announced_version;
@@ -51,12 +51,25 @@
     return this->is_behind() ? configuration_state::behind : configuration_state::current;
 }
 
-void configuration_sync::announce(std::uint64_t version) {
-    this->announced_version = std::max(this->announced_version, version);
-    if(this->is_behind()) {
-        this->start(this->reading_store, &configuration_sync::read_store);
-        this->start(this->asking_peers, &configuration_sync::ask_peers);
+void configuration_sync::announce(std::uint64_t version, std::string_view holder) {
+    if(version > this->announced_version) {
+        this->announced_version = version;
+        this->holders.clear();
+    }
+    if(!this->is_behind()) {
+        return;
+    }
+    const bool holds_announced = version == this->announced_version && !holder.empty();
+    if(holds_announced && this->holders.emplace(holder).second &&
+        this->holders_being_asked < this->settings.holders_asked_max) {
+        ++this->holders_being_asked;
+        asio::co_spawn(
+            this->context.io,
+            [self = this->shared_from_this(), name = std::string{holder}] { return self->ask_holder(name); },
+            asio::detached);
     }
+    this->start(this->reading_store, &configuration_sync::read_store);
+    this->start(this->asking_peers, &configuration_sync::ask_peers);
 }
 
 wire::config_reply configuration_sync::make_reply() const {
@@ -103,13 +116,40 @@
     }
 }
 
+asio::awaitable<void> configuration_sync::ask_holder(std::string holder) {
+    const auto replies = std::make_shared<reply_queue>();
+    if(auto peer = this->context.peers.find(holder)) {
+        co_await ask(std::move(peer), this->settings.peer_timeout, replies);
+        const auto reply = co_await replies->pop(this->settings.peer_timeout);
+        if(reply && *reply) {
+            this->apply_reply(**reply);
+        } else {
+            this->holders.erase(holder);
+        }
+    }
+    --this->holders_being_asked;
+}
+
+std::vector<std::string> configuration_sync::draw_peers() {
+    auto names = this->context.peers.live_peer_names();
+    std::ranges::shuffle(names, this->random);
+    std::ranges::partition(names, [this](const std::string& name) { return this->holders.contains(name); });
+    if(names.size() > this->settings.peers_per_round) {
+        // Each round asks one peer that has announced nothing, if there is one: holders may not answer.
+        std::swap(names[this->settings.peers_per_round - 1u], names.back());
+        names.resize(this->settings.peers_per_round);
+    }
+    return names;
+}
+
 asio::awaitable<void> configuration_sync::ask_peers() {
-    const auto peers = this->context.peers.live_peers();
-    const auto asked = std::min(peers.size(), this->settings.peers_per_round);
     const auto replies = std::make_shared<reply_queue>();
-    for(std::size_t count{}; count < asked; ++count) {
-        auto peer = peers[this->next_peer++ % peers.size()];
-        asio::co_spawn(this->context.io, ask(std::move(peer), this->settings.peer_timeout, replies), asio::detached);
+    std::size_t asked{};
+    for(const auto& name : this->draw_peers()) {
+        if(auto peer = this->context.peers.find(name)) {
+            asio::co_spawn(this->context.io, ask(std::move(peer), this->settings.peer_timeout, replies), asio::detached);
+            ++asked;
+        }
     }
     for(std::size_t answered{}; answered < asked && this->is_behind(); ++answered) {
         const auto reply = co_await replies->pop(this->settings.peer_timeout);
--- a/src/lagoonsaddle/edge/configuration_sync.hpp
+++ b/src/lagoonsaddle/edge/configuration_sync.hpp
@@ -5,7 +5,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <random>
+#include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -47,10 +51,14 @@
     std::chrono::milliseconds peer_timeout{300};
     /*! @brief Number of peers that are asked in one round. */
     std::size_t peers_per_round{3u};
+    /*! @brief Number of peers that are asked at once, outside of the rounds, as they have announced the version. */
+    std::size_t holders_asked_max{3u};
     /*! @brief Time after the start in which the node waits until it has joined the fleet. */
     std::chrono::milliseconds join_wait_max{1'000};
     /*! @brief Time after the start in which a node that is behind refuses all requests. */
     std::chrono::milliseconds catch_up_max{5'000};
+    /*! @brief Seed of the choice of peers. */
+    std::uint32_t seed{std::random_device{}()};
 };
 
 /**
@@ -58,8 +66,9 @@
  *
  * A store that was restored from a copy has an older configuration than the nodes until the operator writes again, and
  * one that does not answer holds up whoever waits for it. A version that a peer has announced is therefore read from
- * the store and from the peers at the same time, until this node has it. Must only be used from the thread that runs
- * the `io_context`.
+ * the store and from the peers at the same time, until this node has it: at once from those that have announced it, and
+ * in rounds from peers drawn at random, since all nodes of a fleet look for it at the same time. Must only be used from
+ * the thread that runs the `io_context`.
  */
 class configuration_sync : public std::enable_shared_from_this<configuration_sync> {
 public:
@@ -68,8 +77,12 @@
 
     configuration_sync(configuration_sync_context context, configuration_sync_options options, apply_function apply);
 
-    /*! @brief Records that a peer has a version, and obtains it unless this node has it or a newer one. */
-    void announce(std::uint64_t version);
+    /**
+     * @brief Records that a version exists, and obtains it unless this node has it or a newer one.
+     * @param version The version.
+     * @param holder Name of a peer that has it; empty when unknown.
+     */
+    void announce(std::uint64_t version, std::string_view holder = {});
 
     [[nodiscard]] configuration_state state() const;
 
@@ -91,6 +104,9 @@
     [[nodiscard]] boost::asio::awaitable<void> repeat_while_behind(bool& running, round_type round);
     [[nodiscard]] boost::asio::awaitable<void> read_store();
     [[nodiscard]] boost::asio::awaitable<void> ask_peers();
+    [[nodiscard]] boost::asio::awaitable<void> ask_holder(std::string holder);
+    /*! @brief Draws the peers of a round: those that have announced the version before others. */
+    [[nodiscard]] std::vector<std::string> draw_peers();
     void apply_reply(const wire::config_reply& reply);
     void log_behind(std::string_view reason);
 
@@ -101,8 +117,10 @@
     std::uint64_t announced_version{};
     /*! @brief Announced version of the last log line. */
     std::uint64_t logged_version{};
-    /*! @brief Position in the list of peers at which the next round begins. */
-    std::size_t next_peer{};
+    /*! @brief Peers that have the announced version and have not failed to answer. */
+    std::set<std::string, std::less<>> holders{};
+    std::size_t holders_being_asked{};
+    std::minstd_rand random;
     bool reading_store{false};
     bool asking_peers{false};
 };
