edge: records come from peers while the store turns a node away

Cause: upstreams, versions and leases came from the store alone, so that a node which starts while the store turns it away knows none; and candidates for leases were chosen whether the store answers them or not. Change: a node that the store does not answer compares digests of its records with one peer after the other and gets what it lacks; what it learns it announces to three peers. Readers know from these questions whom the store does not answer, and do not leave the leases to them.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -109,7 +109,8 @@
                                                         .routes = this->routes,
                                                         .upstreams = this->upstreams,
                                                         .membership = *this->membership,
-                                                        .partitions = this->partitions},
+                                                        .partitions = this->partitions,
+                                                        .unanswered = this->unanswered},
           placement_options{.node_name = this->settings.name,
               .availability_zone = this->settings.availability_zone,
               .boot_id = this->boot_id,
@@ -178,6 +179,13 @@
                                                                    .archive = this->archive},
           stream_archive_service_options{.node_name = this->settings.name},
           [this](const std::vector<resumable_stream>& streams) { this->origins.adopt(streams); })},
+      records{std::make_shared<record_exchange>(record_exchange_context{.io = this->context.io,
+                                                    .clock = this->context.clock,
+                                                    .log = this->log,
+                                                    .records = *this,
+                                                    .peers = this->peers,
+                                                    .unanswered = this->unanswered},
+          record_exchange_options{})},
       started{this->context.clock.now()} {}
 
 core::result<void> entry_node::impl::start() {
@@ -243,6 +251,7 @@
     this->start_watcher(record_kind::leases, long_watch_timeout, milliseconds{0});
     this->origins.wait_for(this->archive_updates);
     this->archive_updates->start();
+    this->records->start();
     this->paths->start();
     this->placement->start();
     this->dispatch->start();
@@ -336,6 +345,14 @@
         }
     } else if(message.type == wire::message_type::config_get) {
         responder->send(wire::message_type::config_reply, wire::pack(this->configuration_updates->make_reply()));
+    } else if(message.type == wire::message_type::records_get) {
+        if(const auto known = wire::unpack<wire::records_summary>(message.body)) {
+            responder->send(wire::message_type::records_reply, wire::pack(this->records->make_reply(peer, *known)));
+        }
+    } else if(message.type == wire::message_type::records_notice) {
+        if(const auto known = wire::unpack<wire::records_summary>(message.body)) {
+            this->records->apply_notice(peer, *known);
+        }
     } else if(message.type == wire::message_type::place_request) {
         if(auto request = wire::unpack<wire::place_request>(message.body)) {
             const auto reply = co_await this->dispatch->place_as_holder(std::move(peer), std::move(*request));
--- a/src/lagoonsaddle/edge/entry_node_records.cpp
+++ b/src/lagoonsaddle/edge/entry_node_records.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::minutes leaving_item_lifetime{2};
 /*! @brief Entries of upstreams in the store cannot expire during a shorter outage. */
 constexpr milliseconds expiring_outage_min{1'000};
+/*! @brief Source of records that this node has read itself, in log lines. */
+constexpr std::string_view store_source{"store"};
 
 } // namespace
 
@@ -72,22 +74,27 @@
     }
 }
 
+void entry_node::impl::log_added_upstream(const upstream_entry& entry, std::string_view source) {
+    this->log.write(log_line{"upstream_added"}
+                        .add("upstream", entry.id)
+                        .add("service", entry.service)
+                        .add("zone", entry.availability_zone)
+                        .add("software_version", entry.software_version)
+                        .add("address", core::to_string(entry.address))
+                        .add("source", source));
+}
+
 void entry_node::impl::apply_upstream(const record_change& change) {
     const auto now = this->context.clock.now();
     const auto* entry = std::get_if<upstream_entry>(&change.value);
     const bool known = this->upstreams.find(change.name) != nullptr;
     if(entry != nullptr && !known) {
-        this->log.write(log_line{"upstream_added"}
-                            .add("upstream", entry->id)
-                            .add("service", entry->service)
-                            .add("zone", entry->availability_zone)
-                            .add("software_version", entry->software_version)
-                            .add("address", core::to_string(entry->address)));
+        this->log_added_upstream(*entry, store_source);
     }
     const bool is_leaving =
         entry != nullptr ? this->upstreams.update(*entry, now) : this->upstreams.remove(change.name, now);
     if(is_leaving) {
-        this->announce_leaving(change.name, "store");
+        this->announce_leaving(change.name, store_source);
     }
     if(entry != nullptr && !known) {
         this->limits.apply_announced();
@@ -122,6 +129,9 @@
         fleet::gossip_item{.kind = std::string{configuration_item_kind}, .key = "newest", .version = current.version});
     this->placement->on_upstreams_changed();
     this->broadcast_updates();
+    if(source != store_source) {
+        this->records->notify_peers();
+    }
 }
 
 void entry_node::impl::apply_lease(const record_change& change, std::uint64_t epoch) {
@@ -142,7 +152,7 @@
             }
         }
         for(const auto& id : this->upstreams.replace(entries, this->context.clock.now())) {
-            this->announce_leaving(id, "store");
+            this->announce_leaving(id, store_source);
         }
         this->limits.apply_announced();
         this->apply_announced_leaving();
@@ -162,9 +172,9 @@
         switch(kind) {
         case record_kind::configuration:
             if(const auto* value = std::get_if<configuration>(&change.value)) {
-                this->apply_configuration(*value, "store");
+                this->apply_configuration(*value, store_source);
             } else {
-                this->log_refused_configuration(0u, "store", "the record '" + change.name + "' holds no configuration");
+                this->log_refused_configuration(0u, store_source, "the record '" + change.name + "' holds no configuration");
             }
             break;
         case record_kind::upstreams:
--- a/src/lagoonsaddle/edge/internal_entry_node.hpp
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -16,9 +16,11 @@
 #include <lagoonsaddle/edge/instrumented.hpp>
 #include <lagoonsaddle/edge/path_checked_control.hpp>
 #include <lagoonsaddle/edge/prompt_part_guard.hpp>
+#include <lagoonsaddle/edge/record_exchange.hpp>
 #include <lagoonsaddle/edge/record_watcher.hpp>
 #include <lagoonsaddle/edge/status_handlers.hpp>
 #include <lagoonsaddle/edge/stream_origin_service.hpp>
+#include <lagoonsaddle/edge/unanswered_nodes.hpp>
 #include <lagoonsaddle/edge/unseen_versions.hpp>
 #include <lagoonsaddle/edge/upstream_paths.hpp>
 #include <lagoonsaddle/http/server.hpp>
@@ -40,6 +42,7 @@
 
 /*! @brief Parts of an entry node and what connects them. */
 class entry_node::impl final : public record_observer,
+                               public record_holder,
                                public upstream_observer,
                                public node_status,
                                public wire::peer_handler {
@@ -56,6 +59,11 @@
     void on_changes(record_kind kind, const record_page& page) override;
     void on_store_recovered(record_kind kind, core::duration outage) override;
     void on_store_restored(record_kind kind) override;
+    [[nodiscard]] bool reads_store() const override;
+    [[nodiscard]] wire::records_summary summarize_records() const override;
+    [[nodiscard]] wire::records_reply copy_records(const wire::records_summary& known) const override;
+    bool merge_records(const wire::records_reply& reply, std::string_view peer) override;
+    void announce_configuration(std::uint64_t version, std::string_view peer) override;
     void on_upstream_leaving(const std::string& upstream) override;
     boost::asio::awaitable<void> handle(
         std::string peer, wire::frame message, std::shared_ptr<wire::responder> responder) override;
@@ -67,7 +75,10 @@
     void apply_updates(const wire::store_news& updates);
     /*! @brief Returns the freshness with which this node has to watch the store at present. */
     [[nodiscard]] freshness watch_freshness() const;
+    /*! @brief Adds the entry of an upstream that a peer knows; returns true when this node has learned something. */
+    bool merge_upstream(const upstream_entry& entry, std::string_view peer);
     void apply_upstream(const record_change& change);
+    void log_added_upstream(const upstream_entry& entry, std::string_view source);
     /*! @brief Puts a valid configuration into force and announces it, unless this node has it or a newer one. */
     void apply_configuration(configuration value, std::string_view source);
     /*! @brief Logs that what was read as a configuration does not come into force; version 0 when it states none. */
@@ -110,6 +121,7 @@
     std::shared_ptr<unseen_versions> unseen;
     stream_origin_service origins;
     partitioned_nodes partitions{};
+    unanswered_nodes unanswered{};
     std::shared_ptr<upstream_paths> paths;
     path_checked_control control;
     std::shared_ptr<placement_service> placement;
@@ -126,8 +138,8 @@
     store_backoff shared_backoff;
     std::shared_ptr<stream_archive_service> archive_updates;
     std::vector<std::unique_ptr<record_watcher>> watchers{};
-    /*! @brief What was read from the store since the last broadcast to the peers. */
-    wire::store_news pending_updates{};
+    update_outbox outbox{};
+    std::shared_ptr<record_exchange> records;
     core::time_point started{};
     /*! @brief When the store last returned from an outage. */
     std::optional<core::time_point> store_returned{};
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -8,6 +8,7 @@
 
 #include <lagoonsaddle/core/hash.hpp>
 #include <lagoonsaddle/edge/placement_service.hpp>
+#include <lagoonsaddle/edge/record_copies.hpp>
 #include <lagoonsaddle/edge/sleep.hpp>
 
 namespace lagoonsaddle::edge {
@@ -145,14 +146,20 @@
     return found->is_live() ? holder_status::live : holder_status::unreachable;
 }
 
+bool placement_service::is_candidate(const fleet::member& node) const {
+    return node.is_live() && node.state != fleet::member_state::leaving &&
+           !this->context.partitions.contains(node.info) && !this->context.unanswered.contains(node.info.name, this->context.clock.now());
+}
+
 std::optional<std::size_t> placement_service::candidate_rank(const std::string& zone) const {
     const auto members = this->context.membership.members();
     std::vector<std::string> local{};
     std::vector<std::string> all{};
+    bool zone_unanswered{false};
     for(const auto& other : *members) {
-        const bool eligible = other.is_live() && other.state != fleet::member_state::leaving &&
-                              !this->context.partitions.contains(other.info);
-        if(!eligible) {
+        const bool unanswered = this->context.unanswered.contains(other.info.name, this->context.clock.now());
+        zone_unanswered = zone_unanswered || (unanswered && other.info.availability_zone == zone);
+        if(!this->is_candidate(other)) {
             continue;
         }
         all.push_back(other.info.name);
@@ -163,7 +170,7 @@
     // A node that has just started may not know the nodes of the zone yet, which place requests with fewer bytes
     // between zones and less delay.
     const bool settled = this->context.clock.now() - this->started_at >= membership_settle_time;
-    const auto& candidates = local.empty() && settled ? all : local;
+    const auto& candidates = local.empty() && (settled || zone_unanswered) ? all : local;
     const auto order = core::rendezvous_rank(zone, candidates);
     for(std::size_t position{}; position < order.size(); ++position) {
         if(candidates[order[position]] == this->settings.node_name) {
@@ -249,6 +256,13 @@
                                 .add("outcome", written ? "written" : core::to_string(written.error().cause)));
 }
 
+bool placement_service::has_successor() const {
+    const auto members = this->context.membership.members();
+    return std::ranges::any_of(*members, [this](const fleet::member& other) {
+        return other.info.name != this->settings.node_name && this->is_candidate(other);
+    });
+}
+
 asio::awaitable<void> placement_service::release_leases() {
     this->releasing = true;
     std::vector<std::string> held{};
@@ -284,6 +298,40 @@
     }
 }
 
+bool placement_service::on_lease_copied(const stored_lease& record) {
+    const auto& zone = record.lease.availability_zone;
+    const auto& current = this->lease_of(zone).current();
+    const bool is_newer = !current || current->epoch < record.epoch ||
+                          (current->epoch == record.epoch && current->revision < record.revision);
+    if(is_newer) {
+        this->on_lease_changed(zone, &record);
+    }
+    return is_newer;
+}
+
+std::vector<stored_lease> placement_service::known_leases() const {
+    std::vector<stored_lease> known{};
+    for(const auto& [zone, lease] : this->leases) {
+        if(lease.current()) {
+            known.push_back(*lease.current());
+        }
+    }
+    return known;
+}
+
+std::vector<wire::version_copy> placement_service::copy_versions(std::size_t count_max) const {
+    std::vector<wire::version_copy> copies{};
+    for(const auto& [key, known] : this->announced_versions) {
+        if(copies.size() == count_max) {
+            break;
+        }
+        const auto slash = key.find('/');
+        copies.push_back(
+            {.model = key.substr(0u, slash), .adapter = key.substr(slash + 1u), .version = known.version});
+    }
+    return copies;
+}
+
 void placement_service::on_leases_listed(std::uint64_t epoch) {
     this->leases_listed_in = epoch;
     for(auto& [zone, lease] : this->leases) {
@@ -316,6 +364,11 @@
     if(record.version <= known.version) {
         return false;
     }
+    if(known.version != 0u) {
+        this->announced_versions_digest ^=
+            digest_of({.model = record.model, .adapter = record.adapter, .version = known.version});
+    }
+    this->announced_versions_digest ^= digest_of(record);
     known = announced_version{.version = record.version, .at = this->context.clock.now()};
     this->context.log.write(log_line{"version_announced"}
                                 .add("adapter", adapter_key(record.model, record.adapter))
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -23,7 +23,9 @@
 #include <lagoonsaddle/edge/protocol.hpp>
 #include <lagoonsaddle/edge/route_table.hpp>
 #include <lagoonsaddle/edge/slot_scheduler.hpp>
+#include <lagoonsaddle/edge/unanswered_nodes.hpp>
 #include <lagoonsaddle/edge/upstream_table.hpp>
+#include <lagoonsaddle/wire/messages.hpp>
 
 namespace lagoonsaddle::edge {
 
@@ -62,6 +64,7 @@
     upstream_table& upstreams;
     cluster::membership_service& membership;
     const partitioned_nodes& partitions;
+    const unanswered_nodes& unanswered;
 };
 
 /**
@@ -113,6 +116,20 @@
      * leases do not exist, so that they need not be read one by one. */
     void on_leases_listed(std::uint64_t epoch);
 
+    /*! @brief Applies a lease that a peer knows; returns true when it is newer than the known one. */
+    bool on_lease_copied(const stored_lease& record);
+
+    /*! @brief Returns the known leases. */
+    [[nodiscard]] std::vector<stored_lease> known_leases() const;
+
+    /*! @brief Returns the announced versions for a peer, at most `count_max` of them. */
+    [[nodiscard]] std::vector<wire::version_copy> copy_versions(std::size_t count_max) const;
+
+    /*! @brief Returns the digest of all announced versions. */
+    [[nodiscard]] std::uint64_t versions_digest() const noexcept {
+        return this->announced_versions_digest;
+    }
+
     /*! @brief Applies an announced version. Returns true when it is newer than the known one. */
     bool on_version_announced(const version_record& record);
 
@@ -160,6 +177,7 @@
 
     [[nodiscard]] lease_tracker& lease_of(const std::string& zone);
     [[nodiscard]] holder_status holder_status_of(const lease_tracker& lease) const;
+    [[nodiscard]] bool is_candidate(const fleet::member& node) const;
     [[nodiscard]] std::optional<std::size_t> candidate_rank(const std::string& zone) const;
     [[nodiscard]] const service* service_of(const std::string& upstream) const;
     [[nodiscard]] bool orders_loads_of(const std::string& upstream);
@@ -176,6 +194,7 @@
     std::set<std::string> maintained_zones{};
     std::map<std::string, std::shared_ptr<load_worker>, std::less<>> load_workers{};
     std::map<std::string, announced_version, std::less<>> announced_versions{};
+    std::uint64_t announced_versions_digest{};
     /*! @brief Upstream that is loading a base model, by availability zone. */
     std::map<std::string, std::string, std::less<>> model_loading_upstreams{};
 };
--- a/src/lagoonsaddle/edge/record_watcher.hpp
+++ b/src/lagoonsaddle/edge/record_watcher.hpp
@@ -89,6 +89,11 @@
         return this->settings.kind;
     }
 
+    /*! @brief Returns whether the last call failed. */
+    [[nodiscard]] bool is_failing() const noexcept {
+        return this->failing_since.has_value();
+    }
+
     /*! @brief Returns the time of the last successful call, or nothing before the first one. */
     [[nodiscard]] std::optional<core::time_point> last_success() const noexcept {
         return this->last_success_at;
--- a/src/lagoonsaddle/edge/upstream_table.hpp
+++ b/src/lagoonsaddle/edge/upstream_table.hpp
@@ -100,6 +100,11 @@
      * before. */
     bool mark_leaving(std::string_view id, std::uint64_t started_ms);
 
+    /*! @brief Returns whether the incarnation of an entry was removed lately. */
+    [[nodiscard]] bool was_removed(const upstream_entry& entry) const {
+        return this->find_removed(entry) != nullptr;
+    }
+
     /*! @brief Records a sign that an upstream has started again, which its entry may show only later. */
     void suspect_restart(std::string_view id, core::time_point now);
 
--- a/src/lagoonsaddle/wire/frame.hpp
+++ b/src/lagoonsaddle/wire/frame.hpp
@@ -41,11 +41,15 @@
     stream_origin_update = 25,
     stream_origin_get = 26,
     stream_origin_reply = 27,
-    upstream_full = 28
+    upstream_full = 28,
+    records_get = 29,
+    records_reply = 30,
+    records_notice = 31,
+    placement_pending = 32
 };
 
 /*! @brief Newest type of message that this node knows. */
-inline constexpr message_type newest_message_type{message_type::upstream_full};
+inline constexpr message_type newest_message_type{message_type::placement_pending};
 
 /*! @brief Newest type of message that a node knows which does not state it. */
 inline constexpr message_type baseline_message_type{message_type::prompt_part_update};
--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -266,9 +266,19 @@
     bool may_wait{};
     /*! @brief Version that the software of the upstream must have; any when not set. Earlier releases ignore it. */
     std::optional<std::string> software_version{};
+    /*! @brief Whether `placement_pending` may come before the answer. Earlier releases ignore it. */
+    bool knows_pending{};
 
     MSGPACK_DEFINE_ARRAY(ticket, zone, service, model, adapter, version_min, prompt_tokens, shared_prefix,
-        shared_tokens, excluded, timeout_ms, lifetime_ms, may_wait, software_version)
+        shared_tokens, excluded, timeout_ms, lifetime_ms, may_wait, software_version, knows_pending)
+};
+
+/*! @brief Comes before the answer to `place_request` when the adapter has to be loaded first. */
+struct placement_pending {
+    /*! @brief Upstream that loads the adapter. */
+    std::string upstream{};
+
+    MSGPACK_DEFINE_ARRAY(upstream)
 };
 
 /*! @brief Answer to `place_request`. */
@@ -322,6 +332,87 @@
     MSGPACK_DEFINE_ARRAY(configuration_version, leaving, versions)
 };
 
+/*! @brief A node that the store has answered. */
+struct store_reader {
+    std::string node{};
+    /*! @brief Time since the node itself has said so. */
+    std::uint64_t age_ms{};
+
+    MSGPACK_DEFINE_ARRAY(node, age_ms)
+};
+
+/**
+ * @brief What a node knows of the platform's store, in brief, so that a peer can tell what either of them lacks.
+ *
+ * Sent as `records_get` by a node that the store does not answer, and as `records_notice`, which has no answer, by one
+ * that has received something from a peer.
+ */
+struct records_summary {
+    std::uint64_t configuration_version{};
+    /*! @brief Whether the node knows all upstreams. */
+    bool upstreams_known{};
+    /*! @brief Digest of the upstreams; equal ones need not be sent. The same holds for the other kinds. */
+    std::uint64_t upstreams{};
+    std::uint64_t versions{};
+    std::uint64_t leases{};
+    /*! @brief Nodes that the store has answered lately, as far as this node knows. */
+    std::vector<store_reader> readers{};
+
+    MSGPACK_DEFINE_ARRAY(configuration_version, upstreams_known, upstreams, versions, leases, readers)
+};
+
+/*! @brief Entry of an upstream as a node knows it, without what changes with each load. */
+struct upstream_copy {
+    std::string id{};
+    std::string service{};
+    std::string availability_zone{};
+    std::string address{};
+    unsigned port{};
+    bool leaving{};
+    unsigned request_slots{};
+    std::uint64_t started_ms{};
+    std::string software_version{};
+    /*! @brief Resident base models. */
+    std::vector<std::string> models{};
+
+    MSGPACK_DEFINE_ARRAY(id, service, availability_zone, address, port, leaving, request_slots, started_ms,
+        software_version, models)
+};
+
+/*! @brief Announced version of an adapter. */
+struct version_copy {
+    std::string model{};
+    std::string adapter{};
+    std::uint64_t version{};
+
+    MSGPACK_DEFINE_ARRAY(model, adapter, version)
+};
+
+/*! @brief Lease of an availability zone with the position of its record in the store. */
+struct lease_copy {
+    std::string availability_zone{};
+    std::string holder{};
+    std::uint64_t holder_boot_id{};
+    std::uint64_t fencing_token{};
+    std::uint64_t revision{};
+    std::uint64_t epoch{};
+
+    MSGPACK_DEFINE_ARRAY(availability_zone, holder, holder_boot_id, fencing_token, revision, epoch)
+};
+
+/*! @brief Answer to `records_get`: the kinds of records whose digest differs. */
+struct records_reply {
+    std::uint64_t configuration_version{};
+    bool upstreams_known{};
+    /*! @brief Nodes that the store has answered lately, as far as this node knows. */
+    std::vector<store_reader> readers{};
+    std::optional<std::vector<upstream_copy>> upstreams{};
+    std::optional<std::vector<version_copy>> versions{};
+    std::optional<std::vector<lease_copy>> leases{};
+
+    MSGPACK_DEFINE_ARRAY(configuration_version, upstreams_known, readers, upstreams, versions, leases)
+};
+
 /*! @brief Service and software version that began a stream, so that it can be resumed on any node. Has no answer. */
 struct stream_origin_update {
     /*! @brief Id of the request that brought the first event. */
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -391,6 +391,7 @@
                                       .unseen = *unseen},
         "n"};
     partitioned_nodes partitions{};
+    unanswered_nodes unanswered{};
     std::shared_ptr<upstream_paths> paths{std::make_shared<upstream_paths>(upstream_paths_context{.io = node_context,
                                                                                .clock = clock,
                                                                                .log = log,
@@ -408,7 +409,8 @@
                                                 .routes = routes,
                                                 .upstreams = upstreams,
                                                 .membership = *membership,
-                                                .partitions = partitions},
+                                                .partitions = partitions,
+                                                .unanswered = unanswered},
             placement_options{.node_name = "n"})};
     std::shared_ptr<dispatch_service> dispatch{std::make_shared<dispatch_service>(
         dispatch_context{
--- a/test/edge/placement_fixture.hpp
+++ b/test/edge/placement_fixture.hpp
@@ -219,6 +219,7 @@
         std::make_shared<cluster::membership_service>(this->context, this->clock, fleet::membership_settings{})};
     cluster::peer_directory peers{this->context, *this->membership, wire::hello{.node = "n"}};
     partitioned_nodes partitions{};
+    unanswered_nodes unanswered{};
     std::shared_ptr<placement_service> placement{
         std::make_shared<placement_service>(placement_context{.io = this->context,
                                                 .clock = this->clock,
@@ -228,7 +229,8 @@
                                                 .routes = this->routes,
                                                 .upstreams = this->upstreams,
                                                 .membership = *this->membership,
-                                                .partitions = this->partitions},
+                                                .partitions = this->partitions,
+                                                .unanswered = this->unanswered},
             placement_options{.node_name = "n", .availability_zone = "z", .boot_id = 1u})};
     std::shared_ptr<dispatch_service> dispatch{std::make_shared<dispatch_service>(dispatch_context{.io = this->context,
                                                                                       .clock = this->clock,
--- a/test/wire/message_layout_test.cpp
+++ b/test/wire/message_layout_test.cpp
@@ -75,6 +75,36 @@
         stream_origin_reply{.origin = origin, .versions = {"v"}, .versions_complete = true});
     check_layout("93a16e01a162", config_reply{.name = "n", .version = 1u, .body = "b"});
     check_layout("93a17501c3", upstream_full{.upstream = "u", .started_ms = 1u, .growth = true});
+    check_layout("9601c30203049192a17205",
+        records_summary{.configuration_version = 1u,
+            .upstreams_known = true,
+            .upstreams = 2u,
+            .versions = 3u,
+            .leases = 4u,
+            .readers = {{.node = "r", .age_ms = 5u}}});
+    check_layout("9601c39192a17205919aa175a173a17aa16102c30304a17691a16d9193a16da161059196a17aa1680607"
+                 "0809",
+        records_reply{.configuration_version = 1u,
+            .upstreams_known = true,
+            .readers = {{.node = "r", .age_ms = 5u}},
+            .upstreams = std::vector<upstream_copy>{{.id = "u",
+                .service = "s",
+                .availability_zone = "z",
+                .address = "a",
+                .port = 2u,
+                .leaving = true,
+                .request_slots = 3u,
+                .started_ms = 4u,
+                .software_version = "v",
+                .models = {"m"}}},
+            .versions = std::vector<version_copy>{{.model = "m", .adapter = "a", .version = 5u}},
+            .leases = std::vector<lease_copy>{{.availability_zone = "z",
+                .holder = "h",
+                .holder_boot_id = 6u,
+                .fencing_token = 7u,
+                .revision = 8u,
+                .epoch = 9u}}});
+    check_layout("91a175", placement_pending{.upstream = "u"});
     check_layout(
         "94a1649101910203", quarantine_update{.digest = "d", .crashes = {1u}, .cleared = {2u}, .until_unix_ms = 3});
     check_layout("919193a1709192010203",
