edge: any node that reads the store tells its peers

Callers saw (CONFIG): a version that only nodes other than the chosen readers could read travelled by gossip alone. Cause: only the exact readers, chosen by hashing, told the others what they had read, whether the store answers them or not. Change: other nodes tell it too, 0.1 to 0.3 s after they have read it, unless a peer has done so meanwhile. Nodes that are known to be turned away are not counted as readers.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -308,6 +308,7 @@
             this->log.write(log_line{"upstream_gone"}.add("upstream", id).add("reason", "missing_after_outage"));
         }
         this->upstreams.set_current(this->entries_expire(), this->context.clock.now());
+        this->broadcast_updates();
         this->limits.update_nodes();
         this->prompt_parts.expire();
         this->origins.expire();
@@ -337,7 +338,7 @@
         }
     } else if(message.type == wire::message_type::store_news) {
         if(const auto updates = wire::unpack<wire::store_news>(message.body)) {
-            this->apply_updates(*updates);
+            this->apply_updates(*updates, peer);
         }
     } else if(message.type == wire::message_type::request_progress) {
         if(const auto progress = wire::unpack<wire::request_progress>(message.body)) {
--- a/src/lagoonsaddle/edge/entry_node_records.cpp
+++ b/src/lagoonsaddle/edge/entry_node_records.cpp
@@ -27,20 +27,33 @@
 } // namespace
 
 freshness entry_node::impl::watch_freshness() const {
-    const auto members = this->membership->members();
-    const bool exact = is_exact_reader(this->settings.name, this->settings.availability_zone, *members);
+    const auto now = this->context.clock.now();
+    auto members = *this->membership->members();
+    // Nodes that the store does not answer cannot tell the others what is new.
+    std::erase_if(members, [this, now](const fleet::member& other) {
+        return other.info.name != this->settings.name && this->unanswered.contains(other.info.name, now);
+    });
+    const bool exact = is_exact_reader(this->settings.name, this->settings.availability_zone, members);
     return exact ? freshness::exact : freshness::stale;
 }
 
 void entry_node::impl::broadcast_updates() {
-    const auto updates = std::exchange(this->pending_updates, {});
-    const bool empty = updates.configuration_version == 0u && updates.leaving.empty() && updates.versions.empty();
-    if(!empty && this->watch_freshness() == freshness::exact) {
-        this->peers.broadcast(wire::message_type::store_news, wire::pack(updates));
+    if(this->outbox.empty()) {
+        return;
+    }
+    const bool is_chosen_reader = this->watch_freshness() == freshness::exact;
+    if(const auto updates = this->outbox.take(is_chosen_reader, this->context.clock.now())) {
+        this->log.write(log_line{"updates_told"}
+                            .add("configuration", static_cast<std::int64_t>(updates->configuration_version))
+                            .add("leaving", static_cast<std::int64_t>(updates->leaving.size()))
+                            .add("versions", static_cast<std::int64_t>(updates->versions.size()))
+                            .add("chosen_reader", is_chosen_reader ? 1 : 0));
+        this->peers.broadcast(wire::message_type::store_news, wire::pack(*updates));
     }
 }
 
-void entry_node::impl::apply_updates(const wire::store_news& updates) {
+void entry_node::impl::apply_updates(const wire::store_news& updates, std::string_view peer) {
+    this->outbox.remove_told(updates);
     for(const auto& entry : updates.leaving) {
         if(this->upstreams.mark_leaving(entry.upstream, entry.started_ms)) {
             this->log.write(log_line{"upstream_leaving"}.add("upstream", entry.upstream).add("source", "peer"));
@@ -50,7 +63,7 @@
         this->placement->on_version_announced(
             version_record{.model = entry.model, .adapter = entry.adapter, .version = entry.version});
     }
-    this->configuration_updates->announce(updates.configuration_version);
+    this->configuration_updates->announce(updates.configuration_version, peer);
 }
 
 void entry_node::impl::apply_announced_leaving() {
@@ -66,7 +79,7 @@
     this->log.write(
         log_line{known != nullptr ? "upstream_leaving" : "upstream_gone"}.add("upstream", id).add("source", source));
     if(known != nullptr) {
-        this->pending_updates.leaving.push_back({.upstream = id, .started_ms = known->entry.started_ms});
+        this->outbox.add_leaving(id, known->entry.started_ms);
         this->membership->publish(fleet::gossip_item{.kind = std::string{leaving_item_kind},
             .key = id,
             .version = known->entry.started_ms,
@@ -115,6 +128,7 @@
         this->log_refused_configuration(value.version, source, valid.error().message);
         return;
     }
+    const auto announced = this->configuration_updates->announced();
     if(!this->routes.apply(std::move(value))) {
         return;
     }
@@ -124,7 +138,9 @@
                         .add("source", source)
                         .add("epoch", static_cast<std::int64_t>(this->store.epoch()))
                         .add("routes", static_cast<std::int64_t>(current.routes.size())));
-    this->pending_updates.configuration_version = current.version;
+    if(source == store_source && current.version > announced) {
+        this->outbox.add_configuration(current.version);
+    }
     this->membership->publish(
         fleet::gossip_item{.kind = std::string{configuration_item_kind}, .key = "newest", .version = current.version});
     this->placement->on_upstreams_changed();
@@ -144,6 +160,11 @@
 }
 
 void entry_node::impl::on_list(record_kind kind, const record_page& page) {
+    const bool is_first = this->listed_kinds.insert(kind).second;
+    if(is_first && this->watch_freshness() == freshness::stale) {
+        // What others have read long ago is not new.
+        this->outbox.clear();
+    }
     if(kind == record_kind::upstreams) {
         std::vector<upstream_entry> entries{};
         for(const auto& change : page.records) {
@@ -183,8 +204,7 @@
         case record_kind::versions:
             if(const auto* record = std::get_if<version_record>(&change.value)) {
                 if(this->placement->on_version_announced(*record)) {
-                    this->pending_updates.versions.push_back(
-                        {.model = record->model, .adapter = record->adapter, .version = record->version});
+                    this->outbox.add_version(*record);
                 }
             }
             break;
--- a/src/lagoonsaddle/edge/internal_entry_node.hpp
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +23,7 @@
 #include <lagoonsaddle/edge/stream_origin_service.hpp>
 #include <lagoonsaddle/edge/unanswered_nodes.hpp>
 #include <lagoonsaddle/edge/unseen_versions.hpp>
+#include <lagoonsaddle/edge/update_outbox.hpp>
 #include <lagoonsaddle/edge/upstream_paths.hpp>
 #include <lagoonsaddle/http/server.hpp>
 #include <lagoonsaddle/relay/relay_server.hpp>
@@ -69,10 +71,10 @@
         std::string peer, wire::frame message, std::shared_ptr<wire::responder> responder) override;
 
 private:
-    /*! @brief Broadcasts the pending updates to the peers, if this node is an exact reader of the store. */
+    /*! @brief Tells the peers what this node has read, at once if it is a chosen reader of the store. */
     void broadcast_updates();
     /*! @brief Applies store updates that a peer has broadcast. */
-    void apply_updates(const wire::store_news& updates);
+    void apply_updates(const wire::store_news& updates, std::string_view peer);
     /*! @brief Returns the freshness with which this node has to watch the store at present. */
     [[nodiscard]] freshness watch_freshness() const;
     /*! @brief Adds the entry of an upstream that a peer knows; returns true when this node has learned something. */
@@ -144,6 +146,8 @@
     /*! @brief When the store last returned from an outage. */
     std::optional<core::time_point> store_returned{};
     bool upstreams_known{false};
+    /*! @brief Kinds of records that were listed. */
+    std::set<record_kind> listed_kinds{};
     bool stopping{false};
 };
 
