edge: a lease holder that has to load an adapter says so at once

Cause: a node that takes an adapter for resident waits 250 ms for the holder. Change: the holder sends placement_pending before it loads; only a holder that sends nothing is given up. Nodes of earlier releases neither ask for the frame nor get it.

--- a/src/lagoonsaddle/edge/dispatch_service.cpp
+++ b/src/lagoonsaddle/edge/dispatch_service.cpp
@@ -18,7 +18,7 @@
 
 using std::chrono::milliseconds;
 
-/*! @brief Timeout of a call to the lease holder when the request can be sent to the local choice without it. */
+/*! @brief Time for the first frame of the lease holder when the request can be sent to the local choice without it. */
 constexpr milliseconds holder_timeout_if_resident{250};
 /*! @brief Round trip to the lease holder, in addition to the time that the request may wait for a load. */
 constexpr milliseconds peer_call_margin{100};
@@ -76,8 +76,13 @@
     if(!peer) {
         co_return core::fail(core::reason::unavailable, "the lease holder of the availability zone is not live");
     }
-    const auto timeout = resident ? holder_timeout_if_resident : milliseconds{request.timeout_ms} + peer_call_margin;
-    const auto reply = co_await peer->call(wire::message_type::place_request, wire::pack(request), timeout);
+    const auto load_timeout = milliseconds{request.timeout_ms} + peer_call_margin;
+    const auto timeout = resident ? std::min(holder_timeout_if_resident, load_timeout) : load_timeout;
+    // A holder that has to load the adapter again says so at once: only one that is silent is given up early.
+    request.knows_pending = true;
+    const wire::interim_frame pending{.type = wire::message_type::placement_pending, .timeout = load_timeout};
+    auto body = wire::pack(request);
+    const auto reply = co_await peer->call(wire::message_type::place_request, std::move(body), timeout, pending);
     if(!reply) {
         co_return core::fail(reply.error().cause, "the lease holder of the availability zone did not respond");
     }
@@ -164,7 +169,8 @@
     return choice;
 }
 
-asio::awaitable<wire::placement> dispatch_service::place_as_holder(std::string node, wire::place_request request) {
+asio::awaitable<wire::placement> dispatch_service::place_as_holder(
+    std::string node, wire::place_request request, pending_callback on_pending) {
     const auto begin = this->context.clock.now();
     this->selector_for(request.zone).record_request(request.model, request.adapter, request.shared_prefix, begin);
     std::set<std::string> excluded{request.excluded.begin(), request.excluded.end()};
@@ -187,6 +193,10 @@
             reply.restart_suspected = !this->certain_version(choice->upstream);
             co_return reply;
         }
+        if(on_pending && !this->context.placement.is_resident(
+                             choice->upstream, request.model, request.adapter, request.version_min)) {
+            on_pending(choice->upstream);
+        }
         const auto elapsed = std::chrono::duration_cast<milliseconds>(this->context.clock.now() - begin);
         adapter_request load{.upstream = choice->upstream,
             .model = request.model,
--- a/src/lagoonsaddle/edge/dispatch_service.hpp
+++ b/src/lagoonsaddle/edge/dispatch_service.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -73,9 +74,18 @@
     [[nodiscard]] boost::asio::awaitable<tl::expected<placed_request, placement_failure>> place(
         wire::place_request request, const selection& local_choice);
 
-    /*! @brief Places a request of any node in an availability zone whose lease this node holds. */
+    /*! @brief Called with the upstream when a request has to wait for the load of its adapter. */
+    using pending_callback = std::function<void(const std::string& upstream)>;
+
+    /**
+     * @brief Places a request of any node in an availability zone whose lease this node holds.
+     * @param node Node that received the request from its caller.
+     * @param request The request.
+     * @param on_pending Called for each upstream whose load the request waits for; may be empty.
+     * @return The placement, or why there is none.
+     */
     [[nodiscard]] boost::asio::awaitable<wire::placement> place_as_holder(
-        std::string node, wire::place_request request);
+        std::string node, wire::place_request request, pending_callback on_pending = {});
 
     /*! @brief Records that the upstream has begun to respond. */
     void record_start(const placed_request& request);
--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -356,7 +356,15 @@
         }
     } else if(message.type == wire::message_type::place_request) {
         if(auto request = wire::unpack<wire::place_request>(message.body)) {
-            const auto reply = co_await this->dispatch->place_as_holder(std::move(peer), std::move(*request));
+            dispatch_service::pending_callback on_pending{};
+            if(request->knows_pending) {
+                on_pending = [responder](const std::string& upstream) {
+                    const wire::placement_pending notice{.upstream = upstream};
+                    responder->send(wire::message_type::placement_pending, wire::pack(notice));
+                };
+            }
+            const auto reply = co_await this->dispatch->place_as_holder(
+                std::move(peer), std::move(*request), std::move(on_pending));
             responder->send(wire::message_type::placement, wire::pack(reply));
         }
     }
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -403,6 +403,16 @@
     return static_cast<std::size_t>(held);
 }
 
+bool placement_service::is_resident(const std::string& upstream, std::string_view model, std::string_view adapter,
+    std::uint64_t version_min) const {
+    const auto found = this->load_workers.find(upstream);
+    if(found == this->load_workers.end()) {
+        return false;
+    }
+    const auto version = found->second->scheduler.resident_version(model, adapter);
+    return version && *version >= version_min;
+}
+
 bool placement_service::has_adapter_slot(
     const std::string& upstream, std::string_view model, std::string_view adapter) const {
     const auto found = this->load_workers.find(upstream);
--- a/src/lagoonsaddle/wire/peer_client.cpp
+++ b/src/lagoonsaddle/wire/peer_client.cpp
@@ -323,12 +323,15 @@
 }
 
 asio::awaitable<core::result<frame>> peer_client::call(
-    message_type type, std::string body, std::chrono::milliseconds timeout) {
+    message_type type, std::string body, std::chrono::milliseconds timeout, std::optional<interim_frame> interim) {
     auto opened = co_await this->open(type, std::move(body));
     if(!opened) {
         co_return tl::make_unexpected(std::move(opened.error()));
     }
     auto answer = co_await (*opened)->next(timeout);
+    while(interim && answer && answer->type == interim->type) {
+        answer = co_await (*opened)->next(interim->timeout);
+    }
     if(answer) {
         static_cast<open_exchange&>(**opened).set_ended();
     }
--- a/src/lagoonsaddle/wire/peer_client.hpp
+++ b/src/lagoonsaddle/wire/peer_client.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -43,6 +44,12 @@
     virtual void cancel() = 0;
 };
 
+/*! @brief Frame that may come before the single answer to a call, also several times, and the time to wait after it. */
+struct interim_frame {
+    message_type type{};
+    std::chrono::milliseconds timeout{};
+};
+
 /*! @brief Counters of a connection to a peer. */
 struct peer_counters {
     std::uint64_t connects{};
@@ -77,11 +84,12 @@
      * @brief Sends a message whose answer is a single frame.
      * @param type Type of the message.
      * @param body Packed message.
-     * @param timeout Time for the whole exchange.
+     * @param timeout Time for the first frame.
+     * @param interim Frame that says that the answer takes longer, if the peer may send one.
      * @return The answer, or an error with a verdict; `unavailable` when the peer does not know the message.
      */
-    [[nodiscard]] boost::asio::awaitable<core::result<frame>> call(
-        message_type type, std::string body, std::chrono::milliseconds timeout);
+    [[nodiscard]] boost::asio::awaitable<core::result<frame>> call(message_type type, std::string body,
+        std::chrono::milliseconds timeout, std::optional<interim_frame> interim = std::nullopt);
 
     /**
      * @brief Sends a message without an answer; it is lost when no connection can be made, or the peer does not know
--- a/test/wire/peer_test.cpp
+++ b/test/wire/peer_test.cpp
@@ -30,6 +30,12 @@
 class counting_handler final : public peer_handler {
 public:
     asio::awaitable<void> handle(std::string peer, frame message, std::shared_ptr<responder> answer) override {
+        if(message.type == message_type::place_request) {
+            answer->send(message_type::placement_pending, {});
+            answer->send(message_type::placement_pending, {});
+            answer->send(message_type::placement, peer);
+            co_return;
+        }
         if(message.body == "hang") {
             const auto ended = std::make_shared<async_queue<bool>>();
             answer->on_cancel([ended] { ended->push(true); });
@@ -126,6 +132,16 @@
     CHECK(this->client->counters().connects == 1u);
 }
 
+// Guards against a frame that says that the answer takes longer and is taken for the answer.
+TEST_CASE_FIXTURE(peer_fixture, "call_interim_frames_are_skipped") {
+    const interim_frame pending{.type = message_type::placement_pending, .timeout = exchange_timeout};
+    const auto answer =
+        this->start(this->client->call(message_type::place_request, "x", exchange_timeout, pending)).get();
+    REQUIRE(answer.has_value());
+    CHECK(answer->type == message_type::placement);
+    CHECK(answer->body == "n1");
+}
+
 // Guards against work that goes on at the owner for a caller that is gone.
 TEST_CASE_FIXTURE(peer_fixture, "exchange_destroyed_cancels_at_the_peer") {
     this->start([](peer_client& client) -> asio::awaitable<void> {
