edge: a node without a successor keeps its leases until it ends

Callers saw: the only node of a fleet gave its leases back at SIGTERM and then refused what it had to place for as long as it got requests ("this node does not hold the lease of the availability zone"). Change: it releases them at once only if another node can acquire them, and otherwise at its end. Evidence: LastNodeTest failed on (all of 908 requests refused) and passes.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -30,6 +30,9 @@
 /*! @brief The node exits this long before the end of the stop timeout, even with requests in progress. */
 constexpr milliseconds exit_margin{400};
 constexpr milliseconds stop_poll_interval{50};
+/*! @brief Longest time that the end of a node waits until its leases are released; within `exit_margin`. */
+constexpr milliseconds lease_release_max{200};
+constexpr milliseconds lease_release_poll_interval{10};
 /*! @brief Time without an answer of the store after which it is taken for away; longer than a watch and its delay. */
 constexpr milliseconds store_silence_max{4'000};
 /*! @brief Time after the return of the store in which entries of upstreams that ended during its outage expire. */
@@ -377,8 +380,9 @@
     this->membership->announce_leaving();
     this->paths->begin_stop();
     this->caller_server.begin_drain();
-    asio::co_spawn(
-        this->context.io, [placement = this->placement] { return placement->release_leases(); }, asio::detached);
+    if(this->placement->has_successor()) {
+        this->release_leases();
+    }
     const auto limit = this->settings.stop_timeout - exit_margin;
     this->request_forwarder.begin_stop(begin + long_request_refusal_delay, begin + limit);
     while(true) {
@@ -390,12 +394,28 @@
         co_await sleep_for(stop_poll_interval);
     }
     this->caller_server.stop_accepting();
+    co_await this->release_remaining_leases();
     this->membership->stop();
     this->log.write(
         log_line{"stopped"}.add("active", static_cast<std::int64_t>(this->caller_server.active_requests())));
     this->context.log.flush();
 }
 
+void entry_node::impl::release_leases() {
+    asio::co_spawn(
+        this->context.io, [placement = this->placement] { return placement->release_leases(); }, asio::detached);
+}
+
+asio::awaitable<void> entry_node::impl::release_remaining_leases() {
+    const auto end = this->context.clock.now() + lease_release_max;
+    if(this->placement->leases_held() > 0u) {
+        this->release_leases();
+    }
+    while(this->placement->leases_held() > 0u && this->context.clock.now() < end) {
+        co_await sleep_for(lease_release_poll_interval);
+    }
+}
+
 std::string entry_node::impl::metrics_text() {
     const auto now = this->context.clock.now();
     const auto gauge = [this](std::string_view name, std::string_view help, double value) {
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -79,6 +79,9 @@
     /*! @brief Starts to maintain leases and to order loads. */
     void start();
 
+    /*! @brief Returns whether another node could acquire the leases of this one. */
+    [[nodiscard]] bool has_successor() const;
+
     /*! @brief Releases the leases of this node, so that other nodes can take over without delay. */
     [[nodiscard]] boost::asio::awaitable<void> release_leases();
 
