--- a/src/lagoonsaddle/edge/configuration_sync.cpp
+++ b/src/lagoonsaddle/edge/configuration_sync.cpp
@@ -35,7 +35,11 @@
 
 configuration_sync::configuration_sync(
     configuration_sync_context uses, configuration_sync_options options, apply_function receiver)
-    : context{uses}, settings{options}, apply{std::move(receiver)}, started{this->context.clock.now()}, random{options.seed} {}
+    : context{uses},
+      settings{options},
+      apply{std::move(receiver)},
+      started{this->context.clock.now()},
+      random{options.seed} {}
 
 bool configuration_sync::is_behind() const noexcept {
     return this->context.routes.version() < this->announced_version;
@@ -147,7 +151,8 @@
     std::size_t asked{};
     for(const auto& name : this->draw_peers()) {
         if(auto peer = this->context.peers.find(name)) {
-            asio::co_spawn(this->context.io, ask(std::move(peer), this->settings.peer_timeout, replies), asio::detached);
+            asio::co_spawn(
+                this->context.io, ask(std::move(peer), this->settings.peer_timeout, replies), asio::detached);
             ++asked;
         }
     }
--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -366,8 +366,8 @@
                     responder->send(wire::message_type::placement_pending, wire::pack(notice));
                 };
             }
-            const auto reply = co_await this->dispatch->place_as_holder(
-                std::move(peer), std::move(*request), std::move(on_pending));
+            const auto reply =
+                co_await this->dispatch->place_as_holder(std::move(peer), std::move(*request), std::move(on_pending));
             responder->send(wire::message_type::placement, wire::pack(reply));
         }
     }
--- a/src/lagoonsaddle/edge/entry_node_records.cpp
+++ b/src/lagoonsaddle/edge/entry_node_records.cpp
@@ -195,7 +195,8 @@
             if(const auto* value = std::get_if<configuration>(&change.value)) {
                 this->apply_configuration(*value, store_source);
             } else {
-                this->log_refused_configuration(0u, store_source, "the record '" + change.name + "' holds no configuration");
+                this->log_refused_configuration(
+                    0u, store_source, "the record '" + change.name + "' holds no configuration");
             }
             break;
         case record_kind::upstreams:
--- a/src/lagoonsaddle/edge/exchange_partners.hpp
+++ b/src/lagoonsaddle/edge/exchange_partners.hpp
@@ -29,8 +29,8 @@
 /**
  * @brief Chooses the peers that a node asks for what it cannot read in the store. Not thread-safe.
  *
- * Every second choice is a known reader of the store, which has the newest records; the others are drawn from all peers,
- * so that neither one reader serves a whole fleet, nor a node depends on readers that it has not heard of.
+ * Every second choice is a known reader of the store, which has the newest records; the others are drawn from all
+ * peers, so that neither one reader serves a whole fleet, nor a node depends on readers that it has not heard of.
  */
 class exchange_partners {
 public:
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -148,7 +148,8 @@
 
 bool placement_service::is_candidate(const fleet::member& node) const {
     return node.is_live() && node.state != fleet::member_state::leaving &&
-           !this->context.partitions.contains(node.info) && !this->context.unanswered.contains(node.info.name, this->context.clock.now());
+           !this->context.partitions.contains(node.info) &&
+           !this->context.unanswered.contains(node.info.name, this->context.clock.now());
 }
 
 std::optional<std::size_t> placement_service::candidate_rank(const std::string& zone) const {
@@ -326,8 +327,7 @@
             break;
         }
         const auto slash = key.find('/');
-        copies.push_back(
-            {.model = key.substr(0u, slash), .adapter = key.substr(slash + 1u), .version = known.version});
+        copies.push_back({.model = key.substr(0u, slash), .adapter = key.substr(slash + 1u), .version = known.version});
     }
     return copies;
 }
@@ -403,8 +403,8 @@
     return static_cast<std::size_t>(held);
 }
 
-bool placement_service::is_resident(const std::string& upstream, std::string_view model, std::string_view adapter,
-    std::uint64_t version_min) const {
+bool placement_service::is_resident(
+    const std::string& upstream, std::string_view model, std::string_view adapter, std::uint64_t version_min) const {
     const auto found = this->load_workers.find(upstream);
     if(found == this->load_workers.end()) {
         return false;
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -103,8 +103,8 @@
 
     /*! @brief Returns whether an adapter is resident, at a version or a newer one, on an upstream whose loads this node
      * orders. */
-    [[nodiscard]] bool is_resident(const std::string& upstream, std::string_view model, std::string_view adapter,
-        std::uint64_t version_min) const;
+    [[nodiscard]] bool is_resident(
+        const std::string& upstream, std::string_view model, std::string_view adapter, std::uint64_t version_min) const;
 
     /*! @brief Returns whether an adapter is resident on an upstream or can be loaded there. True for upstreams whose
      * loads this node does not order. */
--- a/src/lagoonsaddle/edge/record_exchange.cpp
+++ b/src/lagoonsaddle/edge/record_exchange.cpp
@@ -97,8 +97,7 @@
     }
     const auto reply = wire::unpack<wire::records_reply>(answer->body);
     if(!reply) {
-        this->context.log.write(
-            log_line{"records_malformed"}.add("peer", name).add("message", reply.error().message));
+        this->context.log.write(log_line{"records_malformed"}.add("peer", name).add("message", reply.error().message));
         co_return;
     }
     if(std::ranges::find(reply->readers, name, &wire::store_reader::node) == reply->readers.end()) {
@@ -108,8 +107,8 @@
     this->context.records.announce_configuration(reply->configuration_version, name);
     const bool learned = this->context.records.merge_records(*reply, name);
     const bool differs = reply->upstreams || reply->versions || reply->leases;
-    this->interval = learned || !differs ? this->settings.interval
-                                         : std::min(this->interval * 2, this->settings.interval_max);
+    this->interval =
+        learned || !differs ? this->settings.interval : std::min(this->interval * 2, this->settings.interval_max);
     if(learned) {
         this->notify_peers();
     }
@@ -136,8 +135,8 @@
     this->context.records.announce_configuration(known.configuration_version, peer);
     if(!this->context.records.reads_store() && this->lacks(known)) {
         asio::co_spawn(
-            this->context.io,
-            [self = this->shared_from_this(), name = std::string{peer}] { return self->ask(name); }, asio::detached);
+            this->context.io, [self = this->shared_from_this(), name = std::string{peer}] { return self->ask(name); },
+            asio::detached);
     }
 }
 
--- a/src/lagoonsaddle/edge/record_exchange.hpp
+++ b/src/lagoonsaddle/edge/record_exchange.hpp
@@ -76,9 +76,9 @@
 /**
  * @brief Obtains the records of the store from peers while the store does not answer this node.
  *
- * The store may turn away most nodes of a fleet, also when these have just started. A node then compares its records with
- * those of one peer after the other, and what it learns makes its way through the fleet in a number of steps that grows
- * with the logarithm of its size. Must only be used from the thread that runs the `io_context`.
+ * The store may turn away most nodes of a fleet, also when these have just started. A node then compares its records
+ * with those of one peer after the other, and what it learns makes its way through the fleet in a number of steps that
+ * grows with the logarithm of its size. Must only be used from the thread that runs the `io_context`.
  */
 class record_exchange : public std::enable_shared_from_this<record_exchange> {
 public:
--- a/src/lagoonsaddle/edge/update_outbox.cpp
+++ b/src/lagoonsaddle/edge/update_outbox.cpp
@@ -16,8 +16,7 @@
 }
 
 void update_outbox::add_version(const version_record& record) {
-    this->pending.versions.push_back(
-        {.model = record.model, .adapter = record.adapter, .version = record.version});
+    this->pending.versions.push_back({.model = record.model, .adapter = record.adapter, .version = record.version});
 }
 
 void update_outbox::remove_told(const wire::store_news& told) {
@@ -25,9 +24,8 @@
         this->pending.configuration_version = 0u;
     }
     for(const auto& entry : told.leaving) {
-        std::erase_if(this->pending.leaving, [&entry](const auto& own) {
-            return own.upstream == entry.upstream && own.started_ms == entry.started_ms;
-        });
+        std::erase_if(this->pending.leaving,
+            [&entry](const auto& own) { return own.upstream == entry.upstream && own.started_ms == entry.started_ms; });
     }
     for(const auto& entry : told.versions) {
         std::erase_if(this->pending.versions, [&entry](const auto& own) {
@@ -45,8 +43,7 @@
 }
 
 bool update_outbox::empty() const noexcept {
-    return this->pending.configuration_version == 0u && this->pending.leaving.empty() &&
-           this->pending.versions.empty();
+    return this->pending.configuration_version == 0u && this->pending.leaving.empty() && this->pending.versions.empty();
 }
 
 core::duration update_outbox::draw_delay() {
--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -375,8 +375,8 @@
     /*! @brief Resident base models. */
     std::vector<std::string> models{};
 
-    MSGPACK_DEFINE_ARRAY(id, service, availability_zone, address, port, leaving, request_slots, started_ms,
-        software_version, models)
+    MSGPACK_DEFINE_ARRAY(
+        id, service, availability_zone, address, port, leaving, request_slots, started_ms, software_version, models)
 };
 
 /*! @brief Announced version of an adapter. */
--- a/test/cluster/peer_directory_test.cpp
+++ b/test/cluster/peer_directory_test.cpp
@@ -28,8 +28,7 @@
 /*! @brief Answers a message when the test lets it. */
 class held_handler final : public wire::peer_handler {
 public:
-    asio::awaitable<void> handle(
-        std::string, wire::frame message, std::shared_ptr<wire::responder> answer) override {
+    asio::awaitable<void> handle(std::string, wire::frame message, std::shared_ptr<wire::responder> answer) override {
         this->received.set_value();
         static_cast<void>(co_await this->turn->pop(exchange_timeout));
         answer->send(wire::message_type::answer_end, std::move(message.body));
@@ -74,7 +73,8 @@
     std::future<core::result<wire::frame>> call() {
         auto peer = this->directory.find("n2");
         REQUIRE(peer != nullptr);
-        auto answer = asio::co_spawn(asio::make_strand(this->context),
+        auto answer = asio::co_spawn(
+            asio::make_strand(this->context),
             [peer]() -> asio::awaitable<core::result<wire::frame>> {
                 co_return co_await peer->call(wire::message_type::submit, "x", exchange_timeout);
             },
--- a/test/wire/message_layout_test.cpp
+++ b/test/wire/message_layout_test.cpp
@@ -75,13 +75,12 @@
         stream_origin_reply{.origin = origin, .versions = {"v"}, .versions_complete = true});
     check_layout("93a16e01a162", config_reply{.name = "n", .version = 1u, .body = "b"});
     check_layout("93a17501c3", upstream_full{.upstream = "u", .started_ms = 1u, .growth = true});
-    check_layout("9601c30203049192a17205",
-        records_summary{.configuration_version = 1u,
-            .upstreams_known = true,
-            .upstreams = 2u,
-            .versions = 3u,
-            .leases = 4u,
-            .readers = {{.node = "r", .age_ms = 5u}}});
+    check_layout("9601c30203049192a17205", records_summary{.configuration_version = 1u,
+                                               .upstreams_known = true,
+                                               .upstreams = 2u,
+                                               .versions = 3u,
+                                               .leases = 4u,
+                                               .readers = {{.node = "r", .age_ms = 5u}}});
     check_layout("9601c39192a17205919aa175a173a17aa16102c30304a17691a16d9193a16da161059196a17aa1680607"
                  "0809",
         records_reply{.configuration_version = 1u,
