edge: large fleets record their streams as often as small ones

Cause: each of 63 nodes wrote its record every 0.63 s at most, 10 ms times the size of the fleet. What began in that time was not recorded when all nodes were killed. Change: 4 ms times the size, at least 0.4 s; at most 250 writes a second of all nodes. Evidence: write_interval_large_fleet_stays_short_within_the_rate_of_the_store; with the former constant its case of 100 nodes is 1 s instead of 0.4 s.

--- a/src/lagoonsaddle/edge/stream_archive_service.cpp
+++ b/src/lagoonsaddle/edge/stream_archive_service.cpp
@@ -28,6 +28,10 @@
     return longest.count() > 0 ? longest : default_stream_time;
 }
 
+milliseconds write_interval(const stream_archive_service_options& options, std::size_t live_nodes) {
+    return std::max(options.write_interval_min, options.fleet_write_interval * static_cast<int>(live_nodes));
+}
+
 stream_archive_service::stream_archive_service(
     stream_archive_context uses, stream_archive_service_options options, load_function receiver)
     : context{uses}, settings{std::move(options)}, on_loaded{std::move(receiver)} {}
@@ -51,7 +55,7 @@
         auto delay = this->settings.poll_interval;
         if(this->is_write_due()) {
             co_await this->write();
-            delay = this->write_interval();
+            delay = write_interval(this->settings, this->count_live_nodes());
         }
         co_await sleep_for(delay);
     }
@@ -124,10 +128,9 @@
     return seen;
 }
 
-milliseconds stream_archive_service::write_interval() const {
+std::size_t stream_archive_service::count_live_nodes() const {
     const auto members = this->context.membership.members();
-    const auto live = std::ranges::count_if(*members, &fleet::member::is_live);
-    return std::max(this->settings.write_interval_min, this->settings.fleet_write_interval * live);
+    return static_cast<std::size_t>(std::ranges::count_if(*members, &fleet::member::is_live));
 }
 
 } // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/stream_archive_service.hpp
+++ b/src/lagoonsaddle/edge/stream_archive_service.hpp
@@ -48,7 +48,7 @@
     /*! @brief Shortest time between two writes of a node: streams that begin in it are not written yet. */
     std::chrono::milliseconds write_interval_min{400};
     /*! @brief Time between two writes of all nodes together, which limits the calls of a large fleet. */
-    std::chrono::milliseconds fleet_write_interval{10};
+    std::chrono::milliseconds fleet_write_interval{4};
 };
 
 /**
@@ -80,7 +80,7 @@
     [[nodiscard]] bool is_write_due();
     [[nodiscard]] boost::asio::awaitable<void> write();
     [[nodiscard]] version_observation observe_versions() const;
-    [[nodiscard]] std::chrono::milliseconds write_interval() const;
+    [[nodiscard]] std::size_t count_live_nodes() const;
 
     stream_archive_context context;
     stream_archive_service_options settings;
@@ -92,6 +92,10 @@
     bool loaded{false};
 };
 
+/*! @brief Returns the time between two writes of a node in a fleet with so many live nodes. */
+[[nodiscard]] std::chrono::milliseconds write_interval(
+    const stream_archive_service_options& options, std::size_t live_nodes);
+
 /*! @brief Returns the longest time that a stream may take by the routes of a configuration. */
 [[nodiscard]] std::chrono::milliseconds longest_stream_time(const route_table& routes);
 
--- a/test/edge/stream_archive_test.cpp
+++ b/test/edge/stream_archive_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <lagoonsaddle/edge/stream_archive.hpp>
+#include <lagoonsaddle/edge/stream_archive_service.hpp>
 
 namespace lagoonsaddle::edge {
 
@@ -180,4 +181,16 @@
     CHECK_FALSE(this->archive.is_complete(stream_time, this->now));
 }
 
+// Guards against streams that cannot go on after all nodes of a large fleet were killed, as they were not recorded yet,
+// and against records that use up the writes of the store.
+TEST_CASE("write_interval_large_fleet_stays_short_within_the_rate_of_the_store") {
+    const stream_archive_service_options options{};
+    CHECK(write_interval(options, 9u) == options.write_interval_min);
+    CHECK(write_interval(options, 100u) == options.write_interval_min);
+    for(const std::size_t nodes : {9u, 63u, 195u, 950u}) {
+        const std::chrono::duration<double> interval{write_interval(options, nodes)};
+        CHECK(static_cast<double>(nodes) / interval.count() <= 250.0);
+    }
+}
+
 } // namespace lagoonsaddle::edge
