review: show requests on an old version of an adapter

Claim: after open connections to the store have gone silent, nodes learn of a new version of an adapter up to 5.7 s late, and requests begin on the old one later than the 5 s that the rule VERSION allows (review/5). Shown: review/5/run.sh with the release build of the deploy file, on arm64; nothing in the code is changed.

--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -19,6 +19,8 @@
         self.adapters, self.loading = {}, {}
         self.seq, self.fence = 0, 0
         self.orders = []
+        # Time, id and version of the adapter of each run.
+        self.begun = []
 
     def models(self):
         return [{"name": "m", "version": 1, "adapters": [f"{name}@{version}"
@@ -27,6 +29,10 @@
     def entry(self, state="ready"):
         return {**super().entry(state), "seq": self.seq, "stage": "both", "models": self.models()}
 
+    def newest_version(self, adapter):
+        record = self.store.objects.get(("versions", f"m.{adapter}"))
+        return record["spec"]["version"] if record else 1
+
     def finish_loads(self):
         for name, (version, end) in list(self.loading.items()):
             if end <= time.monotonic():
@@ -45,9 +51,10 @@
         if order["fence"] < self.fence:
             return 412
         self.fence = order["fence"]
-        name, version = order.get("adapter"), order.get("version", 1)
+        name = order.get("adapter")
         if name is None:
             return 200
+        version = order.get("version") or self.newest_version(name)
         if order["operation"] == "load":
             if self.adapters.get(name, -1) >= version:
                 return 200
@@ -84,7 +91,11 @@
         if adapter and adapter not in self.adapters:
             writer.write(kit.response(421, {"X-Attempt-Id": identity, "X-Not-Executed": "1"}))
             return True
+        if adapter in self.loading:
+            writer.write(kit.response(503, {"X-Attempt-Id": identity, "X-Not-Executed": "1"}))
+            return True
         self.start_run(request)
+        self.begun.append((time.monotonic(), identity, adapter, self.adapters.get(adapter)))
         writer.write((f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {identity}\r\nX-Response-Stamp: s.{self.name}\r\n"
                       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
         for number in range(int(request.headers.get("last-event-id", 0)) + 1, EVENTS + 1):
--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -121,6 +122,12 @@
             self.writers.discard(writer)
             writer.close()
 
+    async def stop(self):
+        """Ends the server: it accepts nothing more and closes its connections."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+
     def reset_connections(self):
         """Resets all connections, as the end of the process does."""
         for writer in list(self.writers):
@@ -139,6 +146,10 @@
         self.changed = asyncio.Condition()
         # None, 'busy' (503), 'silent' (no answer) or 'reset'.
         self.down = None
+        # Connections that were opened before this number are silent for good.
+        self.opened, self.silent_below = 0, 0
+        # When each waiting watch has begun, by kind and address of the caller.
+        self.watches = {}
 
     async def put(self, kind, name, spec):
         """Writes an object, or removes it when `spec` is None; the return is the acknowledgement."""
@@ -167,8 +178,19 @@
         await asyncio.sleep(3600)
         return False
 
+    def silence_open_connections(self):
+        """Lets all open connections go silent for good; new ones work."""
+        self.silent_below = self.opened + 1
+
+    async def serve(self, reader, writer):
+        self.opened += 1
+        writer.number = self.opened
+        await super().serve(reader, writer)
+
     async def respond(self, request, reader, writer):
         await asyncio.sleep(STORE_LATENCY_S)
+        if writer.number < self.silent_below:
+            await asyncio.sleep(3600)
         if self.down:
             return await self.unavailable(writer)
         url = urllib.parse.urlsplit(request.target)
@@ -198,6 +220,7 @@
 
     async def watch(self, writer, kind, revision, wait_s):
         end = time.monotonic() + wait_s
+        self.watches[kind, writer.number] = time.monotonic()
         while True:
             events = [event for number, event_kind, event in self.history if number > revision and event_kind == kind]
             left = end - time.monotonic()
@@ -207,6 +230,9 @@
                 async with asyncio.timeout(min(left, 0.2)):
                     async with self.changed:
                         await self.changed.wait()
+        del self.watches[kind, writer.number]
+        if writer.number < self.silent_below:
+            await asyncio.sleep(3600)
         if self.down:
             return await self.unavailable(writer)
         writer.write(json_response(200, {"events": events, "storeRevision": self.revision}))
@@ -291,7 +317,9 @@
     numbers = itertools.count(11)
     first_port = None
 
-    def __init__(self, folder, store, name, zone, seeds, bounds=BOUNDS):
+    def __init__(self, folder, store, name, zone, seeds, bounds=BOUNDS, descriptors=None):
+        # The limit of `limits.maxFds`, which the platform sets for each process.
+        self.descriptors = descriptors
         if Node.first_port is None:
             Node.first_port = free_ports(8)
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["entry"]
@@ -310,7 +338,9 @@
         self.run()
 
     def run(self):
-        self.process = subprocess.Popen(self.command, stdout=self.log, stderr=self.log, cwd=ROOT,
+        limit = self.descriptors and (
+            lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors)))
+        self.process = subprocess.Popen(self.command, stdout=self.log, stderr=self.log, cwd=ROOT, preexec_fn=limit,
                                         env={**os.environ, "LAGOONSADDLE_SETTINGS": str(self.settings)})
 
     def log_text(self):
