review: show leases that go to and fro after a start with stale seeds

Claim: a node that starts with stale seeds takes the leases of all zones in turns with the other nodes, without end, so that no adapter is loaded on any engine: rule Starved (review/3).

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,11 +1,12 @@
-"""A request for an adapter that does not exist ends the loads of adapters on every engine that it is placed at, for good.
+"""Starved: a node that starts with stale seeds takes the leases of all zones in turns with the others, for good.
 
-The coroutine that orders the loads of an engine ends, while its holder lives on and keeps the lease. Adapters that are
-not resident are never served again, as long as the process lives.
+No holder keeps a lease for long enough to order a load, so that no adapter is loaded on any engine.
 """
 
 import asyncio
+import json
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
@@ -13,9 +14,13 @@
 import engine  # noqa: E402
 import kit  # noqa: E402
 
-# The name that the client asks for: 'café' in Latin-1, as an HTTP field may hold it.
-ADAPTER = b"caf\xe9" if kit.TROUBLE else b"cafe"
-ENGINES_PER_ZONE = 3
+NODES, SEEDS, ENGINES_PER_ZONE = 6, 3, 3
+# The new machine starts this long after the loss of the seeds: less than `seedLagS` (3 s).
+STARTS_AFTER_S = 1.0
+# Its settings name living machines from then on, and it gets SIGHUP.
+SETTINGS_AFTER_S = 3.0
+# `recoverS` of the site is 12 s.
+RECOVERY_S = 13.0
 # Adapters that are asked for ROUNDS times each, over more than 8 s.
 ADAPTERS, ROUNDS, ROUND_S = 30, 5, 2.5
 # The rule: more than 1 + 10 in 100 of the adapters that are asked for are never served.
@@ -23,7 +28,7 @@
 CONFIGURATION = {
     "version": 7,
     "routes": [
-        {"name": "generate", "host": "h.example", "pathPrefix": "/c/", "kind": "streaming", "timeoutMs": 6000,
+        {"name": "generate", "host": "h.example", "pathPrefix": "/c/", "kind": "streaming", "timeoutMs": 4000,
          "targetLatencyMs": 1000, "maxAttempts": 1, "priority": 1, "service": "llm", "sessionAffinity": True,
          "gapTargetMs": 500}],
     "services": [
@@ -35,24 +40,16 @@
 
 async def ask(record, node, identity, adapter):
     """Sends one request for an adapter; returns whether the whole stream came back."""
-    reader, writer = await asyncio.open_connection(node.ip, node.front)
-    record.write(f"send {node.name} {identity} for m/{adapter!r}")
-    writer.write(b"POST /c/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + identity.encode() +
-                 b"\r\nX-Deadline-Ms: 6000\r\nX-Model: m/" + adapter + b"\r\nX-Token-Count: 100,42\r\n"
-                 b"X-Prompt-Prefix: 5c1e:100\r\nContent-Length: 2\r\n\r\nhi")
-    status, complete = 0, False
+    client = kit.Client(record, node, "h.example")
+    headers = {"X-Model": f"m/{adapter}", "X-Token-Count": "100,42", "X-Prompt-Prefix": "5c1e:100"}
+    answer = None
     try:
-        async with asyncio.timeout(6.5):
-            head = await kit.read_head(reader)
-            if head is not None:
-                status = int(head[0].split(" ")[1])
-                body = await kit.read_body(reader, head[1])
-                complete = status == 200 and body.count(b"data: ") == engine.EVENTS
-    except (asyncio.TimeoutError, ConnectionError, asyncio.IncompleteReadError):
-        pass
-    record.write(f"answer {identity} {status}{' complete' if complete else ''}")
-    writer.close()
-    return complete
+        async with asyncio.timeout(4.5):
+            answer = await client.send(identity, target="/c/1", deadline_ms=4000, headers=headers)
+    except (asyncio.TimeoutError, OSError):
+        record.write(f"no answer to {identity}")
+    client.close()
+    return answer is not None and answer[0] == 200 and answer[1].count(b"data: ") == engine.EVENTS
 
 
 async def case(record, scratch, nodes):
@@ -65,32 +62,46 @@
         await server.start()
         await server.publish()
     await store.put("config", "main", CONFIGURATION)
-    for number, zone in enumerate(zones):
-        nodes.append(kit.Node(scratch, store, f"n{number}", zone, [nodes[0].control] if nodes else None))
+    seeds = [f"{kit.loopback(11 + number)}:{kit.Node.choose_ports() + 2}" for number in range(SEEDS)]
+    for number in range(NODES):
+        nodes.append(kit.Node(scratch, store, f"n{number}", zones[number % 3], seeds))
     for node in nodes:
         await kit.eventually(node.is_ready, f"{node.name} is ready")
-    await kit.eventually(lambda: all(("load-leases", zone) in store.objects for zone in zones), "leases are held")
-    await asyncio.sleep(4)
-    if not await ask(record, nodes[0], "before0001", b"a1"):
-        raise kit.CannotRun("an adapter was not served before the trouble")
-    # A client that retries once, as the clients of the site do, at each of three nodes.
-    for attempt in range(2):
-        await asyncio.gather(*(ask(record, node, f"cafe{attempt}{node.name}", ADAPTER) for node in nodes))
-    await asyncio.sleep(3)
-    record.write("the client is gone; from now on others ask for adapters that exist")
+    await asyncio.sleep(5)
+    for node in nodes:
+        if not await ask(record, node, f"before{node.name}", "a1"):
+            raise kit.CannotRun("an adapter was not served before the trouble")
+    record.write(f"lost for good: {[node.name for node in nodes[:SEEDS]]}, the machines that the seeds name")
+    for node in nodes[:SEEDS]:
+        node.process.kill()
+    living = nodes[SEEDS:]
+    living_seeds = [node.control for node in living]
+    await asyncio.sleep(STARTS_AFTER_S)
+    added = kit.Node(scratch, store, f"n{NODES}", "z1", seeds if kit.TROUBLE else living_seeds)
+    nodes.append(added)
+    living.append(added)
+    record.write(f"{added.name} starts with the seeds {seeds if kit.TROUBLE else living_seeds}")
+    await asyncio.sleep(SETTINGS_AFTER_S)
+    added.settings.write_text(added.settings.read_text().replace(json.dumps(seeds), json.dumps(living_seeds)))
+    added.process.send_signal(signal.SIGHUP)
+    record.write(f"the settings of {added.name} name the seeds {living_seeds}, and it gets SIGHUP")
+    await asyncio.sleep(RECOVERY_S)
     served = {number: False for number in range(100, 100 + ADAPTERS)}
+    changes_before = store.revision
 
     async def ask_once(round_number, number):
         await asyncio.sleep((number - 100) * ROUND_S / ADAPTERS)
-        node = nodes[(number + round_number) % len(nodes)]
-        identity = f"a{number}r{round_number}"
-        served[number] |= await ask(record, node, identity, f"a{number}".encode())
+        node = living[(number + round_number) % len(living)]
+        served[number] |= await ask(record, node, f"a{number}r{round_number}", f"a{number}")
 
     for round_number in range(ROUNDS):
         await asyncio.gather(*(ask_once(round_number, number) for number in served))
+    changes = [event["object"]["spec"]["holder"] for revision, kind, event in store.history
+               if kind == "load-leases" and revision > changes_before]
     starved = [f"a{number}" for number, was_served in served.items() if not was_served]
-    record.write(f"never served: {len(starved)} of {ADAPTERS} adapters: {starved}")
-    record.write(f"processes that ended: {[node.name for node in nodes if node.process.poll() is not None]}")
+    record.write(f"ready: {[(node.name, await node.is_ready()) for node in living]}")
+    record.write(f"changes of holders while the adapters were asked for: {len(changes)}, to {sorted(set(changes))}")
+    record.write(f"never served: {len(starved)} of {ADAPTERS} adapters")
     return kit.BROKEN if len(starved) > STARVED_MAX else kit.HELD
 
 
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 asks for an adapter with a plain name.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 gives the new node current seeds.
 exec timeout 115 python3 "$(dirname "$0")/case.py"
--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -320,8 +320,7 @@
     def __init__(self, folder, store, name, zone, seeds, bounds=BOUNDS, descriptors=None):
         # The limit of `limits.maxFds`, which the platform sets for each process.
         self.descriptors = descriptors
-        if Node.first_port is None:
-            Node.first_port = free_ports(8)
+        self.choose_ports()
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["entry"]
         self.name, self.zone, self.ip = name, zone, loopback(next(self.numbers))
         self.front, self.ready = Node.first_port, Node.first_port + 1
@@ -337,6 +336,13 @@
         self.process = None
         self.run()
 
+    @classmethod
+    def choose_ports(cls):
+        """Chooses the ports of all nodes of this run; returns the first one."""
+        if cls.first_port is None:
+            cls.first_port = free_ports(8)
+        return cls.first_port
+
     def run(self):
         limit = self.descriptors and (
             lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors)))
@@ -437,6 +443,8 @@
     """Runs a case `async def case(record, scratch, nodes)`, ends what it started, and exits with its verdict."""
     record = Record(folder)
     nodes, verdict = [], COULD_NOT_RUN
+    # A script that takes too long ends its nodes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         with tempfile.TemporaryDirectory() as scratch:
             try:
