--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -443,8 +443,13 @@
     """Runs a case `async def case(record, scratch, nodes)`, ends what it started, and exits with its verdict."""
     record = Record(folder)
     nodes, verdict = [], COULD_NOT_RUN
+
+    def stop(*_):
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        sys.exit(COULD_NOT_RUN)
+
     # A script that takes too long ends its nodes, too.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    signal.signal(signal.SIGTERM, stop)
     try:
         with tempfile.TemporaryDirectory() as scratch:
             try:
