--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -22,7 +22,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# Exit codes; run.sh makes 1 of BROKEN, as Python itself exits with 1 on an error.
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2
 STORE_LATENCY_S = 0.004
 
 # Bounds of sites/cmru-pricing.toml, as a process gets them in its settings.
@@ -459,9 +460,10 @@
                     if os.environ.get("KEEP_LOGS"):
                         pathlib.Path(os.environ["KEEP_LOGS"], f"{node.name}.log").write_text(node.log_text())
                     node.end()
-    except CannotRun as failure:
-        record.write(f"could not run: {failure}")
-        print(f"could not run: {failure}", file=sys.stderr)
+    except Exception as failure:  # A fault of the script is no broken rule.
+        verdict = COULD_NOT_RUN
+        record.write(f"could not run: {failure!r}")
+        print(f"could not run: {failure!r}", file=sys.stderr)
     record.write({HELD: "the rule held", BROKEN: "the rule was broken"}.get(verdict, "no verdict"))
     record.close()
     sys.exit(verdict)
