--- a/src/lagoonsaddle/edge/entry_settings.cpp
+++ b/src/lagoonsaddle/edge/entry_settings.cpp
@@ -87,7 +87,7 @@
     return valid ? value : otherwise;
 }
 
-[[nodiscard]] entry_settings decode(const json& object, process_limits limits) {
+[[nodiscard]] entry_settings decode(const json& object, const environment_settings& environment) {
     if(!object.is_object()) {
         throw settings_error{"(file)", "must be an object"};
     }
@@ -127,11 +127,12 @@
     values.retry_slack = get_number(object, "retry_slack", 0.0, 1e6);
     values.retry_window = get_seconds(object, "retry_window_s");
     values.stop_timeout = get_seconds(object, "stop_timeout_s");
+    values.version_bound = environment.version_bound;
     if(object.contains("version_bound_s")) {
         values.version_bound = get_seconds(object, "version_bound_s");
     }
-    values.limits.memory_bytes = get_mebibytes(object, "memory_mib", limits.memory_bytes);
-    values.limits.descriptors_max = limits.descriptors_max;
+    values.limits.memory_bytes = get_mebibytes(object, "memory_mib", environment.limits.memory_bytes);
+    values.limits.descriptors_max = environment.limits.descriptors_max;
     constexpr std::size_t body_memory_share{8u};
     const auto body_memory = values.limits.memory_bytes / body_memory_share;
     values.request_body_memory_bytes = get_mebibytes(object, "request_body_memory_mib", body_memory);
@@ -147,17 +148,21 @@
 
 } // namespace
 
-process_limits limits_of_environment() {
+environment_settings read_environment() {
     constexpr std::size_t bytes_per_mib{1024u * 1024u};
-    const process_limits defaults{};
-    const auto memory_mib = get_environment("LAGOONSADDLE_MEMORY_MIB", defaults.memory_bytes / bytes_per_mib);
-    return process_limits{.memory_bytes = memory_mib * bytes_per_mib,
-        .descriptors_max = get_environment("LAGOONSADDLE_DESCRIPTORS_MAX", defaults.descriptors_max)};
+    const environment_settings defaults{};
+    const auto memory_mib = get_environment("LAGOONSADDLE_MEMORY_MIB", defaults.limits.memory_bytes / bytes_per_mib);
+    const auto descriptors = get_environment("LAGOONSADDLE_DESCRIPTORS_MAX", defaults.limits.descriptors_max);
+    const auto version_bound_ms =
+        get_environment("LAGOONSADDLE_VERSION_BOUND_MS", static_cast<std::size_t>(defaults.version_bound.count()));
+    return environment_settings{
+        .limits = process_limits{.memory_bytes = memory_mib * bytes_per_mib, .descriptors_max = descriptors},
+        .version_bound = std::chrono::milliseconds{version_bound_ms}};
 }
 
-core::result<entry_settings> parse_entry_settings(std::string_view text, process_limits limits) {
+core::result<entry_settings> parse_entry_settings(std::string_view text, const environment_settings& environment) {
     try {
-        return decode(json::parse(text, nullptr, true, true), limits);
+        return decode(json::parse(text, nullptr, true, true), environment);
     } catch(const std::exception& exception) {
         return core::fail(core::reason::invalid_argument, exception.what());
     }
@@ -170,7 +175,7 @@
     }
     std::ostringstream content{};
     content << input.rdbuf();
-    return parse_entry_settings(content.str(), limits_of_environment());
+    return parse_entry_settings(content.str(), read_environment());
 }
 
 } // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/entry_settings.hpp
+++ b/src/lagoonsaddle/edge/entry_settings.hpp
@@ -22,12 +22,20 @@
     std::size_t descriptors_max{4'096u};
 };
 
+/*! @brief Settings that the environment of the process states, for those that the settings file does not set. */
+struct environment_settings {
+    static constexpr std::chrono::milliseconds default_version_bound{5'000};
+
+    process_limits limits{};
+    std::chrono::milliseconds version_bound{default_version_bound};
+};
+
 /**
- * @brief Reads the limits of the process from the environment variables LAGOONSADDLE_MEMORY_MIB and
- * LAGOONSADDLE_DESCRIPTORS_MAX.
- * @return The limits; the default for a variable that is absent or no positive integer.
+ * @brief Reads the environment variables LAGOONSADDLE_MEMORY_MIB, LAGOONSADDLE_DESCRIPTORS_MAX and
+ * LAGOONSADDLE_VERSION_BOUND_MS.
+ * @return The values; the default for a variable that is absent or no positive integer.
  */
-[[nodiscard]] process_limits limits_of_environment();
+[[nodiscard]] environment_settings read_environment();
 
 /*! @brief Settings of an entry node. */
 struct entry_settings {
@@ -59,7 +67,7 @@
     /*! @brief Time from the stop signal until the platform kills the process. */
     std::chrono::milliseconds stop_timeout{8'000};
     /*! @brief Time after a new version of an adapter has been accepted in which requests must begin to use it. */
-    std::chrono::milliseconds version_bound{5'000};
+    std::chrono::milliseconds version_bound{environment_settings::default_version_bound};
     /*! @brief Limits of the process, from its environment unless they are set. */
     process_limits limits{};
     /*! @brief Request bodies that the node holds at a time; an eighth of the memory unless it is set, as a body is held
@@ -73,13 +81,14 @@
 /**
  * @brief Parses settings from JSON with comments.
  * @param text Content of the settings file.
- * @param limits Limits of the process, for those that the text does not set.
+ * @param environment Values for settings that the text does not set.
  * @return The settings, or `invalid_argument` with the key and the reason.
  */
-[[nodiscard]] core::result<entry_settings> parse_entry_settings(std::string_view text, process_limits limits = {});
+[[nodiscard]] core::result<entry_settings> parse_entry_settings(
+    std::string_view text, const environment_settings& environment = {});
 
 /**
- * @brief Reads a settings file, with the limits of the environment.
+ * @brief Reads a settings file, with the values of the environment.
  * @param path Path of the file.
  * @return The settings, or `invalid_argument`.
  */
--- a/test/edge/entry_settings_test.cpp
+++ b/test/edge/entry_settings_test.cpp
@@ -70,7 +70,7 @@
     CHECK(set->response_body_memory_bytes == 20u * mib);
     CHECK(set->limits.descriptors_max == 900u);
     const auto limited =
-        parse_entry_settings(this->valid_settings, {.memory_bytes = 80u * mib, .descriptors_max = 500u});
+        parse_entry_settings(this->valid_settings, {.limits = {.memory_bytes = 80u * mib, .descriptors_max = 500u}});
     REQUIRE(limited.has_value());
     CHECK(limited->response_body_memory_bytes == 10u * mib);
     CHECK(limited->limits.descriptors_max == 500u);
@@ -78,6 +78,18 @@
     CHECK_FALSE(parse_entry_settings(this->with_value("unused", "1, \"version_bound_s\": \"5\"")).has_value());
 }
 
+// Guards against a watch of the versions that lasts longer than the bound of the deployment.
+TEST_CASE_FIXTURE(entry_settings_fixture, "parse_entry_settings_version_bound_follows_environment_unless_set") {
+    using std::chrono::milliseconds;
+    const environment_settings environment{.limits = {}, .version_bound = milliseconds{2'500}};
+    const auto derived = parse_entry_settings(this->valid_settings, environment);
+    REQUIRE(derived.has_value());
+    CHECK(derived->version_bound == milliseconds{2'500});
+    const auto set = parse_entry_settings(this->with_value("unused", "1, \"version_bound_s\": 4"), environment);
+    REQUIRE(set.has_value());
+    CHECK(set->version_bound == milliseconds{4'000});
+}
+
 // Guards against a node that starts with an invalid value, and against an error message without the key.
 TEST_CASE_FIXTURE(entry_settings_fixture, "parse_entry_settings_invalid_value_returns_error_with_key") {
     struct row {
