edge, relay: a stopping node relays no connection after it has decided to exit

It did not wait for relayed connections after the release of its leases either. Change: relay_server::stop_accepting, called with close_idle_connections; the last wait is for relayed connections too. Evidence: relay_that_stopped_accepting_refuses_new_and_keeps_open_connections calls the new function, so that it could not be seen failing on the old code.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -412,16 +412,16 @@
     this->request_forwarder.begin_stop(begin + long_request_refusal_delay, begin + limit);
     while(true) {
         const auto elapsed = this->context.clock.now() - begin;
-        const bool idle = this->caller_server.active_requests() == 0u && this->relay_server.active_connections() == 0u;
-        if((elapsed >= traffic_drain_time && idle) || elapsed >= limit) {
+        if((elapsed >= traffic_drain_time && this->is_idle()) || elapsed >= limit) {
             break;
         }
         co_await sleep_for(stop_poll_interval);
     }
     // Until the exit, no request may be read any more: it would be sent to an upstream and then be cut off.
     this->caller_server.close_idle_connections();
+    this->relay_server.stop_accepting();
     co_await this->release_remaining_leases();
-    while(this->caller_server.active_requests() > 0u && this->context.clock.now() - begin < limit) {
+    while(!this->is_idle() && this->context.clock.now() - begin < limit) {
         co_await sleep_for(stop_poll_interval);
     }
     this->membership->stop();
@@ -430,6 +430,10 @@
     this->context.log.flush();
 }
 
+bool entry_node::impl::is_idle() const {
+    return this->caller_server.active_requests() == 0u && this->relay_server.active_connections() == 0u;
+}
+
 void entry_node::impl::release_leases() {
     asio::co_spawn(
         this->context.io, [placement = this->placement] { return placement->release_leases(); },
--- a/src/lagoonsaddle/edge/internal_entry_node.hpp
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -111,6 +111,7 @@
     [[nodiscard]] boost::asio::awaitable<core::result<record_page>> read_unseen_upstreams();
     /*! @brief Returns whether the store answers and has removed the entries of upstreams that ended before. */
     [[nodiscard]] bool entries_expire() const;
+    [[nodiscard]] bool is_idle() const;
     void release_leases();
     /*! @brief Releases the leases that are still held when the node has nothing more to do. */
     [[nodiscard]] boost::asio::awaitable<void> release_remaining_leases();
--- a/src/lagoonsaddle/relay/relay_server.cpp
+++ b/src/lagoonsaddle/relay/relay_server.cpp
@@ -240,9 +240,8 @@
         return tl::make_unexpected(port.error());
     }
     this->bound_port = *port;
-    asio::co_spawn(
-        this->context, [self = this->shared_from_this()] { return self->accept_connections(); },
-        core::task_end{"relay_listener"});
+    core::start_service(
+        this->context, "relay_listener", [self = this->shared_from_this()] { return self->accept_connections(); });
     return {};
 }
 
@@ -270,6 +269,10 @@
     return this->shared->bound_port;
 }
 
+void relay_server::stop_accepting() {
+    this->shared->close();
+}
+
 std::size_t relay_server::active_connections() const noexcept {
     return this->shared->active;
 }
--- a/src/lagoonsaddle/relay/relay_server.hpp
+++ b/src/lagoonsaddle/relay/relay_server.hpp
@@ -91,6 +91,9 @@
     /*! @brief Returns the port that the relay listens on, valid after `start`. */
     [[nodiscard]] std::uint16_t port() const noexcept;
 
+    /*! @brief Stops accepting connections; those that are relayed go on. */
+    void stop_accepting();
+
     /*! @brief Returns the number of connections that are relayed at present. */
     [[nodiscard]] std::size_t active_connections() const noexcept;
 
--- a/test/relay/relay_test.cpp
+++ b/test/relay/relay_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
@@ -262,6 +263,18 @@
     CHECK_FALSE(connected.get().has_value());
 }
 
+// Guards against a request that a stopping node relays in its last moment and cuts off.
+TEST_CASE_FIXTURE(relay_fixture, "relay_that_stopped_accepting_refuses_new_and_keeps_open_connections") {
+    auto open_answer = this->open("/hangs");
+    REQUIRE(open_answer.has_value());
+    asio::post(this->context, asio::use_future([this] { this->relay.stop_accepting(); })).get();
+    const auto refused = this->open("/", "x");
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().verdict == core::verdict::not_run);
+    CHECK(this->await((*open_answer)->read()).value_or("") == "first");
+    CHECK(this->relay.active_connections() == 1u);
+}
+
 // Guards against peers that use up the memory and the descriptors of the relay.
 TEST_CASE_FIXTURE(relay_fixture, "relay_at_limit_refuses_further_connections") {
     auto first = this->open("/echo");
