http: a request that crosses the close of its idle connection is not run

Cause: a read that has already completed resumes its coroutine after close_if_idle has closed the socket. Nothing asked whether the connection is still open, and the request is complete in the buffer. Change: wait_for_request asks.

--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -203,7 +203,7 @@
     /*! @brief Waits for the first bytes of a request; returns false when the connection has ended. */
     asio::awaitable<bool> wait_for_request() {
         if(this->buffer.size() > 0u) {
-            co_return true;
+            co_return this->open;
         }
         boost::system::error_code failure{};
         // An idle connection may wait long for its next request; a started request may not.
@@ -211,7 +211,8 @@
         const auto count = co_await this->stream.async_read_some(
             this->buffer.prepare(read_size), asio::redirect_error(asio::use_awaitable, failure));
         this->buffer.commit(count);
-        co_return !failure;
+        // The connection may have been closed as idle after its request was read and before this coroutine went on.
+        co_return !failure && this->open;
     }
 
     asio::awaitable<bool> serve_one() {
