core, bin: a signal in the first moments of a process does not end it

Cause: the handlers are registered after the settings are read; until then the default action of the signals applies. Change: main holds SIGTERM, SIGINT and SIGHUP first of all (core::signal_hold) and releases them once their handlers are registered, also when whoever started the process had blocked them. The same in the gateway, whose handlers were registered after its start; its SIGHUP ends it as before. Remains: a signal before main, while the program is being linked, ends it.

--- a/bin/entry.cpp
+++ b/bin/entry.cpp
@@ -92,12 +92,13 @@
 
 } // namespace
 
-int run_entry_node(edge::entry_settings settings, const std::string& settings_file) {
+int run_entry_node(edge::entry_settings settings, const std::string& settings_file, core::signal_hold& held_signals) {
     std::signal(SIGPIPE, SIG_IGN);
     const core::boot_clock clock{};
     asio::io_context io{1};
     // Registered before the node is created, so that a stop signal during the start leads to an orderly stop.
     asio::signal_set signals{io, SIGTERM, SIGINT, SIGHUP};
+    held_signals.release();
     edge::decision_log log{STDOUT_FILENO, clock, edge::decision_log_options{.node = settings.name}};
     const auto idle_connections_max = settings.limits.descriptors_max / idle_descriptor_share;
     http::client request_client{http::client_options{.connect_timeout = connect_timeout,
--- a/bin/lagoonsaddled.cpp
+++ b/bin/lagoonsaddled.cpp
@@ -17,6 +17,7 @@
 
 #include "entry.hpp"
 #include <lagoonsaddle/core/clock.hpp>
+#include <lagoonsaddle/core/signal_hold.hpp>
 #include <lagoonsaddle/core/task.hpp>
 #include <lagoonsaddle/gateway/node.hpp>
 #include <lagoonsaddle/http/server.hpp>
@@ -74,10 +75,12 @@
     return exit_start_failed;
 }
 
-int run(settings::node_settings values) {
+int run(settings::node_settings values, core::signal_hold& held_signals) {
     const core::boot_clock clock{};
     asio::io_context context{static_cast<int>(values.node.threads)};
     const auto work = asio::make_work_guard(context);
+    asio::signal_set signals{context, SIGTERM, SIGINT};
+    held_signals.release();
     const auto threads = values.node.threads;
     const auto operator_listen = values.operator_api.listen;
     auto token = operate::read_token(values.operator_api.token_file);
@@ -102,7 +105,6 @@
               << " membership=" << ports->membership << " operator_api=" << operator_server.port() << std::endl;
 
     int status{EXIT_SUCCESS};
-    asio::signal_set signals{context, SIGTERM, SIGINT};
     signals.async_wait([&](const boost::system::error_code& failure, int) {
         if(failure) {
             return;
@@ -127,7 +129,7 @@
     return status;
 }
 
-int run_entry_subcommand(std::map<std::string, docopt::value>& arguments) {
+int run_entry_subcommand(std::map<std::string, docopt::value>& arguments, core::signal_hold& held_signals) {
     const char* variable = std::getenv("LAGOONSADDLE_SETTINGS");
     const auto& option = arguments.at("--settings");
     const std::string file{option ? option.asString() : std::string{variable != nullptr ? variable : ""}};
@@ -140,16 +142,17 @@
         std::cout << "the settings are valid\n";
         return EXIT_SUCCESS;
     }
-    return run_entry_node(std::move(*values), file);
+    return run_entry_node(std::move(*values), file, held_signals);
 }
 
 } // namespace
 
 int main(int argc, char** argv) {
+    core::signal_hold held_signals{SIGTERM, SIGINT, SIGHUP};
     auto arguments =
         docopt::docopt(usage, {argv + 1, argv + argc}, true, std::string{"lagoonsaddled "} + LAGOONSADDLE_VERSION);
     if(arguments.at("entry").asBool()) {
-        return run_entry_subcommand(arguments);
+        return run_entry_subcommand(arguments, held_signals);
     }
     if(const auto& file = arguments.at("--check-settings"); file) {
         const auto report = settings::check_file(file.asString());
@@ -164,5 +167,5 @@
         return exit_invalid_settings;
     }
     initialize_logging(values->log, argv[0]);
-    return run(std::move(*values));
+    return run(std::move(*values), held_signals);
 }
