core, cluster: a process that starts waits for its addresses

Seen: a process that starts while the one before it is in its last moments ends at once with status 3; restarted again and again, it looks like a system that does not start (FAULT). Cause: the first address in use ended the start. Nothing else is delayed: the process serves nobody before.

--- a/src/lagoonsaddle/cluster/membership_service.cpp
+++ b/src/lagoonsaddle/cluster/membership_service.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <lagoonsaddle/cluster/membership_service.hpp>
+#include <lagoonsaddle/core/address_wait.hpp>
 #include <lagoonsaddle/core/task.hpp>
 
 namespace lagoonsaddle::cluster {
@@ -32,12 +33,9 @@
 core::result<core::endpoint> membership_service::bind(const core::endpoint& listen) {
     boost::system::error_code failure{};
     const auto address = asio::ip::make_address(listen.address, failure);
-    const udp::endpoint local{address, listen.port};
     if(!failure) {
-        this->socket.open(local.protocol(), failure);
-    }
-    if(!failure) {
-        this->socket.bind(local, failure);
+        failure = core::bind_when_free(
+            [this, local = udp::endpoint{address, listen.port}] { return this->open_socket(local); });
     }
     if(failure) {
         return core::fail(core::reason::unavailable,
@@ -46,6 +44,19 @@
     return core::endpoint{.address = listen.address, .port = this->socket.local_endpoint(failure).port()};
 }
 
+boost::system::error_code membership_service::open_socket(const udp::endpoint& local) {
+    boost::system::error_code failure{};
+    this->socket.open(local.protocol(), failure);
+    if(!failure) {
+        this->socket.bind(local, failure);
+    }
+    if(failure) {
+        boost::system::error_code ignored{};
+        this->socket.close(ignored);
+    }
+    return failure;
+}
+
 void membership_service::start(fleet::member_info self, std::vector<core::endpoint> seeds) {
     {
         const std::lock_guard lock{this->mutex};
--- a/src/lagoonsaddle/cluster/membership_service.hpp
+++ b/src/lagoonsaddle/cluster/membership_service.hpp
@@ -100,6 +100,7 @@
 private:
     using strand_type = boost::asio::strand<boost::asio::io_context::executor_type>;
 
+    boost::system::error_code open_socket(const boost::asio::ip::udp::endpoint& local);
     boost::asio::awaitable<void> receive_datagrams();
     boost::asio::awaitable<void> run_timers();
     void send_datagrams(std::vector<fleet::datagram> datagrams);
--- a/test/platform_node/start_test.py
+++ b/test/platform_node/start_test.py
@@ -1,10 +1,17 @@
-"""Tests the first moments of an entry node process: signals."""
+"""Tests the first moments of an entry node process: signals and addresses that are still in use."""
 
+import contextlib
 import signal
+import socket
+import threading
 import unittest
 
 from entry_node_case import CONDITION_TIMEOUT_S, EntryNodeCase, Node
 
+# Time for which the process before a node still holds an address.
+HELD_S = 0.5
+EXIT_START_FAILURE = 3
+
 
 class HeldSignalNode(Node):
     """A node whose signals are pending from before its start on, so that each comes before any handler."""
@@ -47,5 +54,48 @@
         self.assertEqual(0, node.process.wait(CONDITION_TIMEOUT_S))
 
 
+class HeldAddressTest(EntryNodeCase):
+    """A node that starts while another process still holds one of its addresses."""
+
+    @contextlib.contextmanager
+    def held_for_a_while(self, address, kind):
+        """Holds an address and lets go of it HELD_S after the body of the block has begun."""
+        holder = socket.socket(socket.AF_INET, kind)
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, int(kind == socket.SOCK_STREAM))
+        holder.bind(address)
+        if kind == socket.SOCK_STREAM:
+            holder.listen()
+        release = threading.Timer(HELD_S, holder.close)
+        release.start()
+        try:
+            yield
+        finally:
+            release.cancel()
+            holder.close()
+
+    def test_node_waits_for_its_addresses(self):
+        """A node that ended at once while the process before it is in its last moments would not start at all."""
+        self.start_fleet(1)
+        node = self.nodes[0]
+        for port, kind in ((self.ports[0], socket.SOCK_STREAM), (self.ports[1], socket.SOCK_STREAM),
+                           (self.ports[2], socket.SOCK_STREAM), (self.ports[2], socket.SOCK_DGRAM)):
+            node.process.kill()
+            node.process.wait()
+            with self.subTest(port=port, kind=kind), self.held_for_a_while((node.ip, port), kind):
+                node.start()
+                self.eventually(lambda: node.process.poll() is not None or node.is_ready(), "the node is ready or ends")
+                self.assertIsNone(node.process.poll())
+
+    def test_node_gives_up_on_an_address_that_stays_in_use(self):
+        """A node without its addresses must say so and end, rather than wait without end."""
+        self.start_fleet(1)
+        node, holder = self.nodes[0], self.nodes[0].process
+        node.start()
+        second, node.process = node.process, holder
+        self.assertEqual(EXIT_START_FAILURE, second.wait(CONDITION_TIMEOUT_S))
+        self.assertIn("event=start_failed", self.read_log(node))
+        self.assertTrue(self.is_served(node, "a0"))
+
+
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
