http: a declared length takes no memory before the body has come

Cause: the body of Beast's parser reserves the declared length at once; the limit of all bodies counts what has come. Change: growing_body grows with what comes; an allocation that fails costs its own request, 503 as not run. Evidence: platform_node_memory DeclaredLengthTest: the node ended on; now it serves others, and its address space grows by less than 64 MiB. Looked at for upstreams, the store and peers: the client reads in pieces of 8 KB, and frames of peers are decoded from what has come.

--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -8,6 +8,7 @@
 #include <lagoonsaddle/core/task.hpp>
 #include <lagoonsaddle/core/tcp_listener.hpp>
 #include <lagoonsaddle/http/internal_beast.hpp>
+#include <lagoonsaddle/http/internal_growing_body.hpp>
 #include <lagoonsaddle/http/json.hpp>
 #include <lagoonsaddle/http/request_framing.hpp>
 #include <lagoonsaddle/http/server.hpp>
@@ -192,7 +193,7 @@
         return failure != asio::error::would_block && (failure || count == 0u);
     }
 
-    using body_parser = beast_http::request_parser<beast_http::string_body>;
+    using body_parser = beast_http::request_parser<growing_body>;
 
     /*! @brief Response to a request that is not handled. */
     struct rejection {
@@ -339,7 +340,11 @@
                            failure == asio::error::eof || failure == beast::error::timeout;
         rejection result{.status = ended ? 0u : 400u,
             .failure = core::error{.cause = core::reason::invalid_argument, .message = failure.message()}};
-        if(failure == beast_http::error::body_limit) {
+        if(failure == boost::system::errc::not_enough_memory) {
+            result.status = 503u;
+            result.failure.cause = core::reason::overloaded;
+            result.failure.retry_after = body_memory_retry_after;
+        } else if(failure == beast_http::error::body_limit) {
             result.status = 413u;
         } else if(failure == beast_http::error::header_limit) {
             result.status = 431u;
