core: an exception that leaves a handler ends what the handler belonged to, not the process

Seen: bad_alloc in a handler that is no coroutine leaves io_context::run, and std::terminate ends the process (FAULT). Cause: nothing caught it. A listener whose coroutine an exception ended never accepted again, while the node went on to say that it is ready. Change: run_handlers logs and counts the exception and goes on; report_task_failure needs no memory when there is none. Evidence: run_handlers_exception_of_a_handler_ends_nothing_else calls the new function.

--- a/bin/entry.cpp
+++ b/bin/entry.cpp
@@ -135,7 +135,7 @@
     handle_signals(io, signals, node, log, settings_file);
     core::start_service(io, "stale_connections",
         [clients = std::array{&request_client, &control_client}] { return close_stale_connections(clients); });
-    io.run();
+    core::run_handlers(io);
     log.flush();
     // Pending handlers refer to the node, so that it must not be destroyed before them; the process exits instead.
     std::_Exit(EXIT_SUCCESS);
--- a/bin/lagoonsaddled.cpp
+++ b/bin/lagoonsaddled.cpp
@@ -120,9 +120,9 @@
     });
     std::vector<std::thread> pool{};
     for(std::size_t index{1u}; index < threads; ++index) {
-        pool.emplace_back([&context] { context.run(); });
+        pool.emplace_back([&context] { core::run_handlers(context); });
     }
-    context.run();
+    core::run_handlers(context);
     for(auto& thread : pool) {
         thread.join();
     }
--- a/src/lagoonsaddle/core/task.hpp
+++ b/src/lagoonsaddle/core/task.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -25,7 +26,17 @@
  * @param name Name of the task.
  * @param failure The exception; nothing happens when it is null.
  */
-void report_task_failure(std::string_view name, const std::exception_ptr& failure);
+void report_task_failure(std::string_view name, const std::exception_ptr& failure) noexcept;
+
+/**
+ * @brief Runs the handlers of a context until it is stopped or has no work left.
+ *
+ * An exception that leaves a handler, such as one for lack of memory, is logged and counted; it ends what the handler
+ * belonged to and nothing else.
+ *
+ * @param context The context. Several threads may run it at once.
+ */
+void run_handlers(boost::asio::io_context& context);
 
 /*! @brief Completion handler of a coroutine that nobody waits for. */
 class task_end {
--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -438,30 +438,26 @@
     }
     this->shared->bound_port = *port;
 
-    asio::co_spawn(
-        acceptor.get_executor(),
-        [shared = this->shared]() -> asio::awaitable<void> {
-            while(!shared->closing.load()) {
-                auto socket =
-                    co_await core::accept_next(shared->acceptor, asio::make_strand(shared->context), shared->accepting);
-                if(!socket || shared->closing.load()) {
-                    co_return;
-                }
-                const auto accepted = std::make_shared<connection>(shared, *std::move(socket));
-                {
-                    const std::lock_guard lock{shared->mutex};
-                    if(shared->connections.size() >= shared->options.connection_limit) {
-                        accepted->close();
-                        continue;
-                    }
-                    shared->connections.emplace(accepted.get(), accepted);
+    core::start_service(acceptor.get_executor(), "http_listener", [shared = this->shared]() -> asio::awaitable<void> {
+        while(!shared->closing.load()) {
+            auto socket =
+                co_await core::accept_next(shared->acceptor, asio::make_strand(shared->context), shared->accepting);
+            if(!socket || shared->closing.load()) {
+                co_return;
+            }
+            const auto accepted = std::make_shared<connection>(shared, *std::move(socket));
+            {
+                const std::lock_guard lock{shared->mutex};
+                if(shared->connections.size() >= shared->options.connection_limit) {
+                    accepted->close();
+                    continue;
                 }
-                asio::co_spawn(
-                    accepted->executor(), [accepted]() -> asio::awaitable<void> { co_await accepted->run(); },
-                    core::task_end{"http_connection"});
+                shared->connections.emplace(accepted.get(), accepted);
             }
-        },
-        core::task_end{"http_listener"});
+            core::start_task(accepted->executor(), "http_connection",
+                [accepted]() -> asio::awaitable<void> { co_await accepted->run(); });
+        }
+    });
     return {};
 }
 
--- a/src/lagoonsaddle/wire/peer_server.cpp
+++ b/src/lagoonsaddle/wire/peer_server.cpp
@@ -162,10 +162,8 @@
         return tl::make_unexpected(port.error());
     }
     this->bound_port = *port;
-    asio::co_spawn(
-        this->acceptor.get_executor(),
-        [self = this->shared_from_this()]() -> asio::awaitable<void> { co_await self->accept_connections(); },
-        core::task_end{"peer_listener"});
+    core::start_service(this->acceptor.get_executor(), "peer_listener",
+        [self = this->shared_from_this()] { return self->accept_connections(); });
     return {};
 }
 
--- a/test/core/task_test.cpp
+++ b/test/core/task_test.cpp
@@ -1,6 +1,8 @@
+#include <new>
 #include <stdexcept>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 
 #include <lagoonsaddle/core/task.hpp>
@@ -40,4 +42,16 @@
     CHECK(failed_tasks() == before + 1u);
 }
 
+// Guards against a process that ends because memory ran out in a handler.
+TEST_CASE("run_handlers_exception_of_a_handler_ends_nothing_else") {
+    boost::asio::io_context context{};
+    bool later{};
+    const auto before = failed_tasks();
+    boost::asio::post(context, [] { throw std::bad_alloc{}; });
+    boost::asio::post(context, [&later] { later = true; });
+    run_handlers(context);
+    CHECK(later);
+    CHECK(failed_tasks() == before + 1u);
+}
+
 } // namespace lagoonsaddle::core
