http: the limits of a body are asked for after each read

Neither the limit of the framing nor the one of all bodies was asked for. Cause: async_read_some of Beast goes on reading while the buffer ends inside a chunk header; it returns only when a read happens to end between two chunks. The tests sent pieces whose size makes that happen. Change: read_body_part reads once and parses all chunks that have come; server and client use it. The client parsed one chunk in each operation before, which cost a coroutine turn a chunk.

--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -8,6 +8,7 @@
 #include <lagoonsaddle/http/client.hpp>
 #include <lagoonsaddle/http/connector.hpp>
 #include <lagoonsaddle/http/internal_beast.hpp>
+#include <lagoonsaddle/http/internal_body_reader.hpp>
 #include <lagoonsaddle/http/internal_connection_pool.hpp>
 
 namespace lagoonsaddle::http {
@@ -177,15 +178,13 @@
             auto& body = this->parser->get().body();
             body.data = piece.data();
             body.size = piece.size();
-            boost::system::error_code failure{};
-            this->parsed_bytes += co_await beast_http::async_read_some(
-                *this->socket, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
+            const auto failure = co_await read_body_part(*this->socket, this->buffer, *this->parser, this->progress);
             if(failure && failure != beast_http::error::need_buffer) {
                 co_return this->lost(failure);
             }
             piece.resize(piece.size() - body.size);
             this->body_bytes += piece.size();
-            if(has_excessive_framing(this->parsed_bytes, this->body_bytes)) {
+            if(has_excessive_framing(this->progress.parsed, this->body_bytes)) {
                 this->close();
                 co_return this->lost(asio::error::make_error_code(asio::error::message_size));
             }
@@ -283,7 +282,7 @@
     asio::awaitable<boost::system::error_code> read_head(const exchange_options& options) {
         for(unsigned skipped{}; skipped <= foreign_heads_max; ++skipped) {
             this->parser.emplace();
-            this->parsed_bytes = 0u;
+            this->progress = {};
             this->body_bytes = 0u;
             this->parser->body_limit(options.body_limit_bytes.value_or(this->connections->options().body_limit_bytes));
             boost::system::error_code failure{};
@@ -358,8 +357,8 @@
     expiry guard;
     /*! @brief Bounded: Beast looks for the end of a chunk header or a trailer without a limit of its own. */
     beast::flat_buffer buffer{read_buffer_limit};
-    /*! @brief Bytes of the body read so far, with its framing and without. */
-    std::size_t parsed_bytes{};
+    body_progress progress{};
+    /*! @brief Bytes of the body read so far, without its framing. */
     std::size_t body_bytes{};
     std::optional<beast_http::response_parser<beast_http::buffer_body>> parser{};
     fields head{};
--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -9,6 +9,7 @@
 #include <lagoonsaddle/core/tcp_listener.hpp>
 #include <lagoonsaddle/http/internal_beast.hpp>
 #include <lagoonsaddle/http/internal_growing_body.hpp>
+#include <lagoonsaddle/http/internal_body_reader.hpp>
 #include <lagoonsaddle/http/json.hpp>
 #include <lagoonsaddle/http/request_framing.hpp>
 #include <lagoonsaddle/http/server.hpp>
@@ -293,14 +294,11 @@
         // Otherwise, each chunk would cost an operation of its own.
         parser.eager(true);
         while(!parser.is_done()) {
-            const auto before = body.size();
-            boost::system::error_code failure{};
-            parsed += co_await beast_http::async_read_some(
-                this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
-            if(failure) {
+            const auto before = body.capacity();
+            if(const auto failure = co_await read_body_part(this->stream, this->buffer, parser, progress); failure) {
                 co_return make_rejection(failure);
             }
-            if(has_excessive_framing(parsed, body.size())) {
+            if(has_excessive_framing(progress.parsed, body.size())) {
                 co_return rejection{.status = 400u,
                     .failure = core::error{
                         .cause = core::reason::invalid_argument, .message = "the chunks of the body are too small"}};
