http: rejected and begun bodies do not stay in memory

Seen: 3,500 connections that have sent 30 KB of a body of 60 KB each take a node from 8 to 116 MB, where all bodies together may have 20 MiB (trial, release build of, LAGOONSADDLE_MEMORY_MIB=160). All of them were admitted until now. Cause: beside the limit that was not asked for, a rejected connection kept its body, its part of the limit and a buffer of 16 KB for the second in which it lingers, and a body was counted by its bytes, not by the room it takes. Change: the rejected body and its reservation are released first; a lingering connection reads 512 bytes at a time; room is counted, and grows to the declared length at most; buffers give back what a body took.

--- a/src/lagoonsaddle/core/byte_budget.hpp
+++ b/src/lagoonsaddle/core/byte_budget.hpp
@@ -40,9 +40,15 @@
     byte_reservation& operator=(const byte_reservation&) = delete;
 
     ~byte_reservation() {
+        this->release();
+    }
+
+    /*! @brief Releases all bytes. */
+    void release() noexcept {
         if(this->budget != nullptr) {
             this->budget->used.fetch_sub(this->held, std::memory_order_relaxed);
         }
+        this->held = 0u;
     }
 
     /**
--- a/src/lagoonsaddle/http/internal_growing_body.hpp
+++ b/src/lagoonsaddle/http/internal_growing_body.hpp
@@ -1,6 +1,7 @@
 #ifndef LAGOONSADDLE_HTTP_INTERNAL_GROWING_BODY_HPP
 #define LAGOONSADDLE_HTTP_INTERNAL_GROWING_BODY_HPP
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <new>
@@ -28,7 +29,8 @@
         template<bool IsRequest, class Fields>
         explicit reader(beast_http::header<IsRequest, Fields>&, value_type& content) : body{content} {}
 
-        void init(const boost::optional<std::uint64_t>&, beast::error_code& failure) {
+        void init(const boost::optional<std::uint64_t>& length, beast::error_code& failure) {
+            this->declared = length ? static_cast<std::size_t>(*length) : this->body.max_size();
             failure = {};
         }
 
@@ -37,6 +39,7 @@
             failure = {};
             const auto before = this->body.size();
             try {
+                this->make_room(before + beast::buffer_bytes(buffers));
                 for(const auto piece : beast::buffers_range_ref(buffers)) {
                     this->body.append(static_cast<const char*>(piece.data()), piece.size());
                 }
@@ -51,7 +54,15 @@
         }
 
     private:
+        /*! @brief Doubles the room when it is used up, but never beyond the declared length. */
+        void make_room(std::size_t needed) {
+            if(needed > this->body.capacity()) {
+                this->body.reserve(std::max(needed, std::min(2u * this->body.capacity(), this->declared)));
+            }
+        }
+
         value_type& body;
+        std::size_t declared{};
     };
 };
 
--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <atomic>
 #include <mutex>
 #include <optional>
@@ -8,8 +9,8 @@
 #include <lagoonsaddle/core/task.hpp>
 #include <lagoonsaddle/core/tcp_listener.hpp>
 #include <lagoonsaddle/http/internal_beast.hpp>
-#include <lagoonsaddle/http/internal_growing_body.hpp>
 #include <lagoonsaddle/http/internal_body_reader.hpp>
+#include <lagoonsaddle/http/internal_growing_body.hpp>
 #include <lagoonsaddle/http/json.hpp>
 #include <lagoonsaddle/http/request_framing.hpp>
 #include <lagoonsaddle/http/server.hpp>
@@ -229,7 +230,11 @@
         this->stream.expires_after(this->owner->options.request_timeout);
         const auto failure = co_await this->receive(message, reserved);
         this->stream.expires_never();
+        this->release_buffer();
         if(failure) {
+            // The rejected body must not take memory while the connection lingers.
+            message.body = {};
+            reserved.release();
             co_await this->reject(message, *failure);
             co_return false;
         }
@@ -243,6 +248,13 @@
         co_return this->open && !this->body_unfinished && this->keeps_alive();
     }
 
+    /*! @brief Gives back the room that a body took in the buffer, which the connection would keep while it is idle. */
+    void release_buffer() {
+        if(this->buffer.capacity() > read_size) {
+            this->buffer.shrink_to_fit();
+        }
+    }
+
     /*! @brief Receives a whole request. Fields of a trailer are dropped: they must not replace those of the head. */
     asio::awaitable<std::optional<rejection>> receive(request& message, core::byte_reservation& reserved) {
         boost::system::error_code failure{};
@@ -290,9 +302,7 @@
 
     asio::awaitable<std::optional<rejection>> receive_body(body_parser& parser, core::byte_reservation& reserved) {
         const auto& body = parser.get().body();
-        std::size_t parsed{};
-        // Otherwise, each chunk would cost an operation of its own.
-        parser.eager(true);
+        body_progress progress{};
         while(!parser.is_done()) {
             const auto before = body.capacity();
             if(const auto failure = co_await read_body_part(this->stream, this->buffer, parser, progress); failure) {
@@ -303,7 +313,7 @@
                     .failure = core::error{
                         .cause = core::reason::invalid_argument, .message = "the chunks of the body are too small"}};
             }
-            if(!reserved.add(body.size() - before)) {
+            if(!reserved.add(body.capacity() - before)) {
                 co_return rejection{.status = 503u,
                     .failure = core::error{.cause = core::reason::overloaded,
                         .message = "the node holds too many request bodies",
@@ -362,11 +372,26 @@
         boost::system::error_code ignored{};
         this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         this->stream.expires_after(reject_linger);
+        // A small buffer: many connections may linger at once.
+        this->buffer.clear();
+        this->buffer.shrink_to_fit();
         for(std::size_t total{}; total < reject_drain_limit && !ignored;) {
-            this->buffer.clear();
             total += co_await this->stream.async_read_some(
-                this->buffer.prepare(drain_read_size), asio::redirect_error(asio::use_awaitable, ignored));
+                this->buffer.prepare(linger_read_size), asio::redirect_error(asio::use_awaitable, ignored));
+            total += this->discard_available();
+        }
+    }
+
+    /*! @brief Reads what has arrived and drops it; returns the number of bytes. */
+    std::size_t discard_available() {
+        std::array<char, drain_read_size> dropped{};
+        boost::system::error_code failure{};
+        this->stream.socket().non_blocking(true, failure);
+        std::size_t total{};
+        while(!failure && total < drain_turn_limit) {
+            total += this->stream.socket().read_some(asio::buffer(dropped), failure);
         }
+        return total;
     }
 
     /*! @brief Counts a request from its first byte until its response has been sent. */
@@ -391,8 +416,11 @@
     static constexpr unsigned http_1_1{11u};
     static constexpr std::string_view continue_head{"HTTP/1.1 100 Continue\r\n\r\n"};
     static constexpr std::size_t read_size{4'096u};
+    static constexpr std::size_t linger_read_size{512u};
     static constexpr std::size_t drain_read_size{16u * 1024u};
-    static constexpr std::size_t reject_drain_limit{64u * 1024u * 1024u};
+    /*! @brief Bytes that are dropped in one turn, so that other connections get theirs. */
+    static constexpr std::size_t drain_turn_limit{256u * 1024u};
+    static constexpr std::size_t reject_drain_limit{16u * 1024u * 1024u};
     static constexpr std::chrono::milliseconds reject_linger{1'000};
     static constexpr std::chrono::milliseconds body_memory_retry_after{500};
 
--- a/test/core/byte_budget_test.cpp
+++ b/test/core/byte_budget_test.cpp
@@ -16,6 +16,10 @@
         CHECK(budget.reserved() == 100u);
     }
     CHECK(budget.reserved() == 0u);
+    byte_reservation released{&budget};
+    CHECK(released.add(100u));
+    released.release();
+    CHECK(budget.reserved() == 0u);
     byte_reservation unlimited{nullptr};
     CHECK(unlimited.add(1'000u));
 }
