gateway: a stopping node reads no request after its last look at those in flight

Cause: as in the entry node before: the last look came before the end of reading. Change: idle connections are closed first, and the requests in flight are looked at again. Conclusion: kept; the test guards what callers see.

--- a/src/lagoonsaddle/gateway/node.cpp
+++ b/src/lagoonsaddle/gateway/node.cpp
@@ -390,6 +390,12 @@
     while(this->clock.now() < deadline && (this->has_requests_in_flight() || !this->owner_assignments->released())) {
         co_await sleep_for(stop_poll_interval);
     }
+    // From here to the exit, no request may be read any more: it would be sent to an upstream and then be cut off.
+    this->caller_server.close_idle_connections();
+    co_await sleep_for(stop_poll_interval);
+    while(this->clock.now() < deadline && this->has_requests_in_flight()) {
+        co_await sleep_for(stop_poll_interval);
+    }
     const bool complete = !this->has_requests_in_flight();
     this->stopping = true;
     this->idempotency_journal.stop();
--- a/test/integration/planned_stop_test.py
+++ b/test/integration/planned_stop_test.py
@@ -1,6 +1,11 @@
 """Tests that a graceful shutdown neither truncates nor refuses requests and runs none twice."""
 
+import contextlib
+import http.client
+import json
 import signal
+import threading
+import time
 import unittest
 
 import support
@@ -38,5 +43,51 @@
                          {outcome.key: 1 for outcome in keyed_outcomes})
 
 
+class LastRequestsTest(support.FleetTestCase):
+    """Stops a node whose callers use open connections at any moment until it is gone."""
+
+    STEP_S = 0.03
+    # Requests that last one step, with pauses in which the node finds that none is in flight.
+    INTERVAL_S = 0.05
+    FIRST_S, LAST_S = 0.9, 1.6
+    options = {"engine": {"slots": 4, "step-ms": int(1000 * STEP_S)}}
+
+    def call(self, connection, request_id, at, results):
+        """Sends a request on an open connection at a time; records the status of its answer once that is complete."""
+        time.sleep(max(0.0, at - time.monotonic()))
+        body = json.dumps({"model": "base/tail-0@v1", "prompt": request_id, "max_tokens": 1})
+        headers = {"x-deadline-ms": "5000", "x-caller-id": "caller"}
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            connection.request("POST", "/v1/completions", body, headers)
+            response = connection.getresponse()
+            response.read()
+            results[request_id] = response.status
+
+    def test_request_in_the_last_moment_is_not_sent_on_and_cut_off(self):
+        """After its last look at the requests in flight, a node must not read any more that it cannot answer."""
+        self.assertTrue(self.warm_up("tail-0@v1"))
+        executed_before = sum(self.engine_executions().values())
+        results = {}
+        for node in self.nodes:
+            count = int((self.LAST_S - self.FIRST_S) / self.INTERVAL_S)
+            connections = [http.client.HTTPConnection("127.0.0.1", node.port, timeout=10) for _ in range(count)]
+            for connection in connections:
+                connection.connect()
+            begin = time.monotonic()
+            node.popen.send_signal(signal.SIGTERM)
+            callers = [threading.Thread(target=self.call, args=(
+                connection, f"late-{node.name}-{number}", begin + self.FIRST_S + self.INTERVAL_S * number, results))
+                for number, connection in enumerate(connections)]
+            for caller in callers:
+                caller.start()
+            for caller in callers:
+                caller.join()
+            self.assertEqual(0, node.wait(support.CONDITION_TIMEOUT_S))
+            self.restart_node(node.name, node.zone)
+        served = sum(status == 200 for status in results.values())
+        self.assertGreater(served, 0)
+        self.assertEqual(served, sum(self.engine_executions().values()) - executed_before)
+
+
 if __name__ == "__main__":
     unittest.main()
