--- a/test/platform_node/stale_seed_test.py
+++ b/test/platform_node/stale_seed_test.py
@@ -52,6 +52,27 @@
         self.assertIn("event=member node=n0 state=alive", self.read_log(added))
         self.assertEqual([], self.lease_changes()[changes:])
 
+    def test_two_nodes_with_the_same_stale_seed_join(self):
+        """Nodes that start together and know neither each other nor the fleet must not take the lease in turns."""
+        self.start_fleet(1)
+        changes = len(self.lease_changes())
+        stale = [node_address(STALE_SEED_NUMBER)]
+        added = [Node(self.store, f"n{number}", self.ports, stale) for number in (1, 2)]
+        self.nodes += added
+        for node in added:
+            self.eventually(node.is_ready, "the node is ready")
+        begin = time.monotonic()
+        number = 0
+        while time.monotonic() < begin + OBSERVED_S:
+            for node in self.nodes if time.monotonic() > begin + SEED_LAG_S else self.nodes[:1]:
+                self.assertTrue(self.is_served(node, f"cold{number}"), f"{node.name} cold{number}")
+                number += 1
+            time.sleep(0.2)
+        for node in added:
+            for other in {"n0", "n1", "n2"} - {node.name}:
+                self.assertIn(f"event=member node={other} state=alive", self.read_log(node))
+        self.assertEqual([], self.lease_changes()[changes:])
+
     def test_node_joins_through_seeds_that_a_reload_names(self):
         """SIGHUP says that the settings have changed: seeds that are alive must be used from then on."""
         self.store.put("config", "main", self.CONFIGURATION)
