soak: settings change and nodes stop in the first moments, and no process ends by itself

What was missing: the soak sent no SIGHUP, left a node alone for 1 s after its start, and did not notice a process that ended by itself unless requests showed it. Change: series of up to ten SIGHUPs to nodes that run, start or stop; signals from 0.1 s after the start on; a process that has ended by itself is a violation and is started again.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -42,7 +42,7 @@
             (self.harm_store_link, 4), (self.store_down, 1), (self.crash_engine, 3), (self.drain_engine, 2),
             (self.slow_engine, 2), (self.failing_service, 2), (self.new_configuration, 3), (self.new_version, 2),
             (self.kill_all, 1), (self.restore_store, 3), (self.limit_upstream, 3), (self.crash_on_part, 2),
-            (self.spoil_answers, 4), (self.partition_nodes, 3), (self.make_engines_brittle, 2), (self.silence_engine, 3)]
+            (self.spoil_answers, 4), (self.partition_nodes, 3), (self.make_engines_brittle, 2), (self.silence_engine, 3), (self.reload_nodes, 2)]
 
     def step(self):
         """Ends the faults that are due and injects one to three faults of one kind."""
@@ -51,6 +51,8 @@
         self.pending_ends = [entry for entry in self.pending_ends if entry[0] > now]
         for _, end in due:
             end()
+        for node in self.cluster.nodes:
+            node.check_alive()
         fault = self.rng.choices([kind for kind, _ in self.kinds], [weight for _, weight in self.kinds])[0]
         for _ in range(self.rng.choice([1, 1, 1, 2, 3])):
             fault()
@@ -66,7 +68,7 @@
         self.pending_ends.append((time.monotonic() + seconds, end))
 
     def draw_running_node(self):
-        """Draws a running node that has installed its signal handlers; returns None when there is none."""
+        """Draws a running node that can be sent signals; returns None when there is none."""
         started_before = time.monotonic() - world.STARTUP_GRACE_S
         nodes = [node for node in self.cluster.nodes if node.state == "running" and node.started_at < started_before]
         return self.rng.choice(nodes) if nodes else None
@@ -92,6 +94,11 @@
             node.terminate()
             self.end_after(world.STOP_LIMIT_S + self.rng.uniform(0.1, 1.0), node.restart_after_termination)
 
+    def reload_nodes(self):
+        """Sends SIGHUP in series, also to nodes that have just started or are stopping."""
+        for _ in range(self.rng.choice([1, 3, 10])):
+            self.rng.choice(self.cluster.nodes).reload()
+
     def inject_link_fault(self, link):
         fault = self.rng.choice([
             {"cut": True}, {"freeze": True}, {"half_open": True}, {"drop_answers": True},
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -17,8 +17,8 @@
 STOP_LIMIT_S = 8.0
 LEASE_S = 3
 START_LIMIT_S = 30.0
-# Signals sent earlier after the start may arrive before the process has installed its signal handlers.
-STARTUP_GRACE_S = 1.0
+# Signals sent earlier after the start may arrive while the program is being linked, before it can hold them.
+STARTUP_GRACE_S = 0.1
 RETRY_SLACK = 50
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10
@@ -94,6 +94,18 @@
         self.begin_disturbance("stopping")
         self.process.send_signal(signal.SIGTERM)
 
+    def reload(self):
+        """Says that the settings have changed, unless the process is not there or is being linked."""
+        if self.state in ("running", "stopping") and self.started_at < time.monotonic() - STARTUP_GRACE_S:
+            self.process.send_signal(signal.SIGHUP)
+
+    def check_alive(self):
+        """Records a process that has ended by itself, and starts it again."""
+        if self.state == "running" and self.process.poll() is not None:
+            self.shutdown_failures.append(f"{self.name}: ended by itself with status {self.process.returncode}")
+            self.disturbances.begin()
+            self.start()
+
     def restart_after_termination(self):
         remaining_s = self.sigterm_times[-1] + STOP_LIMIT_S - time.monotonic()
         try:
