test: one view of the store for each node, one loop that asks for cold adapters

Change: StoreViews in store_views.py; check_cold_adapters_are_served. Checks and bounds are unchanged.

--- a/test/platform_node/out_of_step_test.py
+++ b/test/platform_node/out_of_step_test.py
@@ -8,6 +8,7 @@
 import standin
 from software_version_test import (
     LATE_ENTRY_S, ROUTE_TIMEOUT_MS, VERSIONED_CONFIGURATION, SoftwareVersionCase, Stream, VersionedEngine)
+from store_views import StoreViews
 
 # Seconds between the cut of the node's store and the moment at which callers take their streams up there.
 CUTS_S = tuple(float(value) for value in os.environ.get("LAGOONSADDLE_CUTS_S", "0.2 1 3").split())
@@ -49,38 +50,22 @@
         return body
 
 
-class OutOfStepNodeCase(SoftwareVersionCase):
+class OutOfStepNodeCase(StoreViews, SoftwareVersionCase):
     """Nodes with a view of the store each, before two engines of one version of a service without models."""
 
+    VIEW_TYPE = NodeStore
     ENGINE_TYPE = PlainEngine
     ENGINE_COUNT = 2
     CONFIGURATION = {**VERSIONED_CONFIGURATION, "services": [{"name": "llm", "maxConnections": 64}]}
 
     def setUp(self):
         super().setUp()
-        self.views = []
         for engine in self.engines:
             engine.software_version = "v1"
             engine.publish_entry("ready")
 
-    def tearDown(self):
-        self.signal(self.nodes, signal.SIGCONT)
-        for view in self.views:
-            view.is_silent = False
-        super().tearDown()
-        for view in self.views:
-            view.shutdown()
-            view.server_close()
-
-    @staticmethod
-    def signal(nodes, number):
-        for node in nodes:
-            if node.process.poll() is None:
-                node.process.send_signal(number)
-
-    def store_of_next_node(self):
-        self.views.append(NodeStore(self.store))
-        return self.views[-1]
+    def open_view(self, view):
+        view.is_silent = False
 
     def is_served(self, node, adapter):
         stream = PlainStream(adapter)
--- a/test/platform_node/stale_seed_test.py
+++ b/test/platform_node/stale_seed_test.py
@@ -37,11 +37,8 @@
         with self.store.lock:
             return [event["object"]["spec"]["holder"] for _, kind, event in self.store.history if kind == "load-leases"]
 
-    def test_node_joins_through_the_holder_of_a_lease(self):
-        """Nodes that do not know each other must not take the lease in turns: no adapter would be loaded any more."""
-        self.start_fleet(1)
-        changes = len(self.lease_changes())
-        added = self.add_node_with_stale_seed()
+    def check_cold_adapters_are_served(self):
+        """Asks for adapters that have to be loaded: at the first node all the time, at the others after SEED_LAG_S."""
         begin = time.monotonic()
         number = 0
         while time.monotonic() < begin + OBSERVED_S:
@@ -49,6 +46,13 @@
                 self.assertTrue(self.is_served(node, f"cold{number}"), f"{node.name} cold{number}")
                 number += 1
             time.sleep(0.2)
+
+    def test_node_joins_through_the_holder_of_a_lease(self):
+        """Nodes that do not know each other must not take the lease in turns: no adapter would be loaded any more."""
+        self.start_fleet(1)
+        changes = len(self.lease_changes())
+        added = self.add_node_with_stale_seed()
+        self.check_cold_adapters_are_served()
         self.assertIn("event=member node=n0 state=alive", self.read_log(added))
         self.assertEqual([], self.lease_changes()[changes:])
 
@@ -61,13 +65,7 @@
         self.nodes += added
         for node in added:
             self.eventually(node.is_ready, "the node is ready")
-        begin = time.monotonic()
-        number = 0
-        while time.monotonic() < begin + OBSERVED_S:
-            for node in self.nodes if time.monotonic() > begin + SEED_LAG_S else self.nodes[:1]:
-                self.assertTrue(self.is_served(node, f"cold{number}"), f"{node.name} cold{number}")
-                number += 1
-            time.sleep(0.2)
+        self.check_cold_adapters_are_served()
         for node in added:
             for other in {"n0", "n1", "n2"} - {node.name}:
                 self.assertIn(f"event=member node={other} state=alive", self.read_log(node))
--- a/test/platform_node/turned_away_test.py
+++ b/test/platform_node/turned_away_test.py
@@ -7,6 +7,7 @@
 
 import standin
 from entry_node_case import CONFIGURATION, EntryNodeCase, Node
+from store_views import StoreViews
 
 # More than the nodes of a fleet in which each one tells the others what it has read.
 NODES = 20
@@ -38,31 +39,18 @@
         self.store.respond(handler, body)
 
 
-class TurnedAwayCase(EntryNodeCase):
+class TurnedAwayCase(StoreViews, EntryNodeCase):
     """Nodes with a view of the store each."""
 
+    VIEW_TYPE = NodeStore
+
     def setUp(self):
         super().setUp()
-        self.views = []
         self.workers = concurrent.futures.ThreadPoolExecutor(NODES)
 
     def tearDown(self):
-        self.signal(self.nodes, signal.SIGCONT)
         super().tearDown()
         self.workers.shutdown()
-        for view in self.views:
-            view.shutdown()
-            view.server_close()
-
-    @staticmethod
-    def signal(nodes, number):
-        for node in nodes:
-            if node.process.poll() is None:
-                node.process.send_signal(number)
-
-    def store_of_next_node(self):
-        self.views.append(NodeStore(self.store))
-        return self.views[-1]
 
     def start_fleet(self, size):
         """Starts the nodes together and waits until each serves."""
