http, bin: a rejected body is freed, and large blocks go back to the system

Cause: assigning an empty list to a string keeps its room, so that the room was held while its reservation had been released. Beside it, bodies that grow and are freed leave gaps in the heap, as the allocator raises the size from which it maps blocks separately. Change: the body is swapped away; blocks from 128 KiB on are mapped separately in the entry node (M_MMAP_THRESHOLD).

--- a/bin/entry.cpp
+++ b/bin/entry.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <functional>
 #include <iostream>
+#include <malloc.h>
 #include <platform/request_format.hpp>
 #include <platform/store_client.hpp>
 #include <platform/upstream_control.hpp>
@@ -42,6 +43,10 @@
 /*! @brief Timeout of an order to an upstream, and of a report. */
 constexpr std::chrono::milliseconds control_timeout{300};
 
+/*! @brief Blocks from this size on are given back to the system when they are freed. The default rises to the size of
+ * the largest block that was freed, so that freed bodies of many sizes leave gaps which stay resident. */
+constexpr int separate_block_bytes{128 * 1024};
+
 /*! @brief Interval at which idle connections that nothing will use are closed. */
 constexpr std::chrono::milliseconds stale_connection_interval{1'000};
 /*! @brief Share of the descriptors that idle connections may keep; the others are for callers and requests under way.
@@ -94,6 +99,7 @@
 
 int run_entry_node(edge::entry_settings settings, const std::string& settings_file, core::signal_hold& held_signals) {
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, separate_block_bytes);
     const core::boot_clock clock{};
     asio::io_context io{1};
     // Registered before the node is created, so that a stop signal during the start leads to an orderly stop.
--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -232,8 +232,8 @@
         this->stream.expires_never();
         this->release_buffer();
         if(failure) {
-            // The rejected body must not take memory while the connection lingers.
-            message.body = {};
+            // The rejected body must not take memory while the connection lingers; an assignment would keep its room.
+            std::string{}.swap(message.body);
             reserved.release();
             co_await this->reject(message, *failure);
             co_return false;
