test: a node that has learned of a new version in time goes on with its streams

Seen: platform_node_out_of_step failed once beside other load, cut_s=3.0: 503 != 200, statuses [200, 0, 200], 0 of 20 mixed. Traced: the test assumes that the other nodes are stopped before the node that is cut off asks them for their records, 2.6 s after its store fell silent; they are stopped 1.0 s after the cut on a machine with room. With 2.5 s more, 2 of 2 runs fail the same way, and the node's log shows that it has learned of the four engines from a peer. Its answers are right. Change: in that case the streams must go on, unmixed, as those of other tests; otherwise they must be refused at once, as before. Neither case passes with the behaviour of the other.

--- a/test/platform_node/out_of_step_test.py
+++ b/test/platform_node/out_of_step_test.py
@@ -15,6 +15,7 @@
 STREAMS_AT_EACH_NODE = 6
 # With three replicas of each origin, the node that is cut off knows about half of the streams.
 NODES = 6
+ADDED_LINE = "event=upstream_added"
 
 
 class PlainEngine(VersionedEngine):
@@ -107,6 +108,7 @@
     def check_cut(self, cut_s):
         """Lets streams begin at a new version, at the others, after the store of a node has fallen silent."""
         cut_off, others = self.start_settled_fleet()
+        known = self.read_log(cut_off).count(ADDED_LINE)
         self.views[-1].is_silent = True
         cut_at = time.monotonic()
         self.add_engines(others)
@@ -116,7 +118,12 @@
         self.take_up(streams, cut_off)
         print(f"cut for {cut_s} s: {sum(stream.is_mixed for stream in streams)} of {len(streams)} mixed", flush=True)
         self.assert_unmixed(streams)
-        self.assert_refused_at_once(streams)
+        if self.read_log(cut_off).count(ADDED_LINE) == known:
+            self.assert_refused_at_once(streams)
+        else:
+            # On a busy machine the others are stopped after the node has asked them for their records (2.6 s after its
+            # store fell silent): it knows the new version then, and has to go on with the streams.
+            self.assert_share_resumed(streams)
 
     def test_stream_of_version_that_node_has_not_seen_is_refused(self):
         """A list of upstreams that may be outdated must not be taken for proof that a service has one version."""
