test: a failed test of entry nodes prints what its nodes believed

Change: after a failure, each node's state of the process, its last lines about members, leases, partitions and the store, and its last lines of all are printed.

--- a/test/platform_node/entry_node_case.py
+++ b/test/platform_node/entry_node_case.py
@@ -20,6 +20,11 @@
 
 BINARY = pathlib.Path(os.environ["LAGOONSADDLE_BUILD"]) / "bin" / "lagoonsaddled"
 CONDITION_TIMEOUT_S = 60.0
+# Lines of the logs that a failed test prints for each node: the last of all, and the last that tell what it believes.
+LOG_LINES_SHOWN = 15
+STATE_LINES_SHOWN = 40
+REQUEST_EVENTS = ("event=request ", "event=sent ", "event=attempt ", "event=load ", "event=placed ", "event=relay ",
+                  "event=order ")
 COMPLETE_STREAM = "".join(f"id: {number}\ndata: {{0}}\n\n" for number in range(1, standin.EVENTS_PER_STREAM + 1))
 CONFIGURATION = {"version": 1, "routes": [{
     "name": "r", "host": "h", "pathPrefix": "/a/", "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 1000,
@@ -68,6 +73,20 @@
         """Starts the node process."""
         self.process = subprocess.Popen([self.binary, "entry", f"--settings={self.settings}"], stdout=self.log)
 
+    def read_log(self):
+        """Returns the log output so far."""
+        self.log.flush()
+        with open(f"/proc/self/fd/{self.log.fileno()}", encoding="utf-8", errors="replace") as file:
+            return file.read()
+
+    def describe(self):
+        """Returns how the process has ended, if it has, and the last lines of its log."""
+        lines = self.read_log().splitlines()
+        state = [line for line in lines if not any(event in line for event in REQUEST_EVENTS)]
+        status = self.process.poll()
+        return "\n".join([f"{self.name}: {'running' if status is None else f'ended with {status}'}, {len(lines)} lines",
+                          *state[-STATE_LINES_SHOWN:], f"{self.name}: last lines", *lines[-LOG_LINES_SHOWN:]])
+
     def close(self):
         """Kills the process if it still runs and removes its files."""
         if self.process.poll() is None:
@@ -103,6 +122,15 @@
     ENGINE_COUNT = 2
     CONFIGURATION = CONFIGURATION
 
+    def run(self, result=None):
+        """Runs the test; prints what its nodes were doing when it has failed."""
+        self.descriptions = []
+        failures = result and len(result.failures) + len(result.errors)
+        outcome = super().run(result)
+        if result and len(result.failures) + len(result.errors) > failures:
+            print(f"{self.id()}: nodes at the end", *self.descriptions, sep="\n", flush=True)
+        return outcome
+
     def setUp(self):
         self.ids = map("{:016x}".format, itertools.count(1))
         self.store = self.STORE_TYPE()
@@ -111,6 +139,7 @@
         self.nodes = []
 
     def tearDown(self):
+        self.descriptions = [node.describe() for node in self.nodes]
         for node in self.nodes:
             node.close()
         for server in [self.store, *self.engines]:
@@ -154,6 +183,4 @@
     @staticmethod
     def read_log(node):
         """Returns the log output of a node."""
-        node.log.flush()
-        with open(f"/proc/self/fd/{node.log.fileno()}", encoding="utf-8") as file:
-            return file.read()
+        return node.read_log()
