relay: a relay whose address is in use listens as soon as it is free

Cause: the relay tried its port at the start, for 2 s, and never again: what is not fatal was given up for the life of the process, and the start was held up for it. Change: one attempt at the start, then one every 0.5 s from the event loop until the address is free; the log says so. Result: relay_address_is_in_use_at_start_listens_when_it_is_free and test_relay_listens_when_its_address_is_free pass.

--- a/src/lagoonsaddle/core/tcp_listener.cpp
+++ b/src/lagoonsaddle/core/tcp_listener.cpp
@@ -1,7 +1,6 @@
 #include <string>
 #include <utility>
 
-#include <lagoonsaddle/core/address_wait.hpp>
 #include <lagoonsaddle/core/tcp_listener.hpp>
 
 namespace lagoonsaddle::core {
@@ -33,12 +32,13 @@
 
 } // namespace
 
-result<std::uint16_t> listen(tcp::acceptor& acceptor, const endpoint& local, std::string_view clients) {
+result<std::uint16_t> listen(
+    tcp::acceptor& acceptor, const endpoint& local, std::string_view clients, address_wait_options wait) {
     boost::system::error_code failure{};
     const auto address = asio::ip::make_address(local.address, failure);
     if(!failure) {
         const tcp::endpoint bound{address, local.port};
-        failure = bind_when_free([&acceptor, &bound] { return open_listener(acceptor, bound); });
+        failure = bind_when_free([&acceptor, &bound] { return open_listener(acceptor, bound); }, wait);
     }
     if(failure) {
         const auto whom = clients.empty() ? std::string{} : " for " + std::string{clients};
--- a/src/lagoonsaddle/edge/upstream_paths.cpp
+++ b/src/lagoonsaddle/edge/upstream_paths.cpp
@@ -267,6 +267,11 @@
     return known->entry.address;
 }
 
+void upstream_paths::on_listening() {
+    this->context.log.write(
+        log_line{"relay_available"}.add("port", static_cast<std::int64_t>(this->settings.relay_port)));
+}
+
 void upstream_paths::on_connect(const relay::open_request& request, bool connected) {
     this->context.log.write(log_line{"relay"}
                                 .add("node", request.node)
--- a/src/lagoonsaddle/edge/upstream_paths.hpp
+++ b/src/lagoonsaddle/edge/upstream_paths.hpp
@@ -137,6 +137,7 @@
 
     [[nodiscard]] core::result<core::endpoint> admit(
         const relay::open_request& request, std::string_view remote_address) override;
+    void on_listening() override;
     void on_connect(const relay::open_request& request, bool connected) override;
     [[nodiscard]] boost::asio::awaitable<bool> reset_by_upstream(std::string upstream) override;
 
--- a/src/lagoonsaddle/relay/relay_server.cpp
+++ b/src/lagoonsaddle/relay/relay_server.cpp
@@ -51,11 +51,13 @@
 class relay_server::state : public std::enable_shared_from_this<relay_server::state> {
 public:
     state(asio::io_context& io, relay_policy& decisions, relay_server_options options)
-        : context{io}, policy{decisions}, settings{std::move(options)}, acceptor{io} {}
+        : context{io}, policy{decisions}, settings{std::move(options)}, acceptor{io}, retry_timer{io} {}
 
     [[nodiscard]] core::result<void> start();
 
     void close() {
+        this->closed = true;
+        this->retry_timer.cancel();
         boost::system::error_code ignored{};
         this->acceptor.close(ignored);
     }
@@ -69,7 +71,13 @@
     std::size_t active{};
 
 private:
+    [[nodiscard]] core::result<void> listen();
+    /*! @brief Listens as soon as the address is free. */
+    [[nodiscard]] asio::awaitable<void> wait_for_address();
     [[nodiscard]] asio::awaitable<void> accept_connections();
+
+    asio::steady_timer retry_timer;
+    bool closed{false};
 };
 
 /*! @brief One relayed connection. */
@@ -235,17 +243,35 @@
 };
 
 core::result<void> relay_server::state::start() {
-    const auto port = core::listen(this->acceptor, this->settings.listen, "relayed connections");
+    auto listening = this->listen();
+    core::start_service(
+        this->context, "relay_listener", [self = this->shared_from_this()] { return self->accept_connections(); });
+    return listening;
+}
+
+core::result<void> relay_server::state::listen() {
+    constexpr core::address_wait_options no_wait{.attempts = 1u};
+    const auto port = core::listen(this->acceptor, this->settings.listen, "relayed connections", no_wait);
     if(!port) {
         return tl::make_unexpected(port.error());
     }
     this->bound_port = *port;
-    core::start_service(
-        this->context, "relay_listener", [self = this->shared_from_this()] { return self->accept_connections(); });
     return {};
 }
 
+asio::awaitable<void> relay_server::state::wait_for_address() {
+    while(!this->closed && !this->acceptor.is_open()) {
+        this->retry_timer.expires_after(this->settings.address_retry_interval);
+        boost::system::error_code ignored{};
+        co_await this->retry_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if(!this->closed && this->listen()) {
+            this->policy.on_listening();
+        }
+    }
+}
+
 asio::awaitable<void> relay_server::state::accept_connections() {
+    co_await this->wait_for_address();
     while(auto accepted = co_await core::accept_next(this->acceptor, this->context.get_executor(), this->accepting)) {
         const auto accepted_session = std::make_shared<session>(this->shared_from_this(), *std::move(accepted));
         asio::co_spawn(
--- a/src/lagoonsaddle/relay/relay_server.hpp
+++ b/src/lagoonsaddle/relay/relay_server.hpp
@@ -34,6 +34,9 @@
     [[nodiscard]] virtual core::result<core::endpoint> admit(
         const open_request& request, std::string_view remote_address) = 0;
 
+    /*! @brief Called when the relay listens after all, because its address has become free. */
+    virtual void on_listening() = 0;
+
     /*! @brief Called with the outcome of a connection attempt to an upstream. */
     virtual void on_connect(const open_request& request, bool connected) = 0;
 
@@ -58,6 +61,8 @@
     std::chrono::milliseconds lifetime_max{60'000};
     /*! @brief Time after which unacknowledged data ends a connection. */
     std::chrono::milliseconds unacknowledged_timeout{2'500};
+    /*! @brief Time between two attempts to listen on an address that is in use. */
+    std::chrono::milliseconds address_retry_interval{500};
 };
 
 /**
@@ -83,12 +88,12 @@
     ~relay_server();
 
     /**
-     * @brief Starts to listen.
-     * @return Nothing, or `unavailable` when the address cannot be bound.
+     * @brief Starts to listen. When the address is in use, the relay listens as soon as it is free.
+     * @return Nothing, or `unavailable` when the address cannot be bound yet.
      */
     [[nodiscard]] core::result<void> start();
 
-    /*! @brief Returns the port that the relay listens on, valid after `start`. */
+    /*! @brief Returns the port that the relay listens on; 0 before it listens. */
     [[nodiscard]] std::uint16_t port() const noexcept;
 
     /*! @brief Stops accepting connections; those that are relayed go on. */
--- a/test/platform_node/start_test.py
+++ b/test/platform_node/start_test.py
@@ -6,6 +6,7 @@
 import threading
 import unittest
 
+from addresses import node_address
 from entry_node_case import CONDITION_TIMEOUT_S, EntryNodeCase, Node
 
 # Time for which the process before a node still holds an address.
@@ -86,6 +87,17 @@
                 self.eventually(lambda: node.process.poll() is not None or node.is_ready(), "the node is ready or ends")
                 self.assertIsNone(node.process.poll())
 
+    def test_relay_listens_when_its_address_is_free(self):
+        """A node whose relay gave up for good at the start cannot serve its peers when they are partitioned: with three of
+        four nodes cut, nothing is served at these three."""
+        relay = (node_address(next(Node.address_numbers) + 1), self.ports[2] + 2)
+        with socket.create_server(relay) as holder:
+            self.start_fleet(1)
+            self.assertEqual(relay[0], self.nodes[0].ip)
+            holder.close()
+            self.eventually(lambda: "event=relay_available" in self.read_log(self.nodes[0]), "the relay listens")
+        socket.create_connection(relay).close()
+
     def test_node_gives_up_on_an_address_that_stays_in_use(self):
         """A node without its addresses must say so and end, rather than wait without end."""
         self.start_fleet(1)
--- a/test/relay/relay_test.cpp
+++ b/test/relay/relay_test.cpp
@@ -60,6 +60,10 @@
         return this->target;
     }
 
+    void on_listening() override {
+        this->listening.set_value();
+    }
+
     void on_connect(const open_request&, bool) override {}
 
     asio::awaitable<bool> reset_by_upstream(std::string) override {
@@ -68,6 +72,7 @@
 
     core::endpoint target{};
     bool reaches_upstreams{true};
+    std::promise<void> listening{};
 };
 
 struct relay_fixture {
@@ -275,6 +280,21 @@
     CHECK(this->relay.active_connections() == 1u);
 }
 
+// Guards against a node that relays nothing until it is started again, because its address was in use at its start.
+TEST_CASE_FIXTURE(relay_fixture, "relay_address_is_in_use_at_start_listens_when_it_is_free") {
+    tcp::acceptor holder{this->raw_context, {asio::ip::make_address(loopback), 0u}};
+    const auto port = holder.local_endpoint().port();
+    auto late = std::make_unique<relay_server>(this->context, this->policy,
+        relay_server_options{
+            .listen = {.address = loopback, .port = port}, .address_retry_interval = std::chrono::milliseconds{10}});
+    auto started = asio::post(this->context, asio::use_future([&late] { return late->start().has_value(); }));
+    CHECK_FALSE(started.get());
+    holder.close();
+    this->policy.listening.get_future().wait();
+    CHECK(late->port() == port);
+    asio::post(this->context, asio::use_future([&late] { late.reset(); })).get();
+}
+
 // Guards against peers that use up the memory and the descriptors of the relay.
 TEST_CASE_FIXTURE(relay_fixture, "relay_at_limit_refuses_further_connections") {
     auto first = this->open("/echo");
