edge: the default port of the relay passes over the node's other ports

Cause: the default was peer_port + 2, also where callers, readiness or metrics have that port. Change: the first port from peer_port + 2 on that no other server of the node has. Evidence: parse_entry_settings_default_relay_port_is_used_otherwise_takes_the_next_one fails with the old rule (7382, not 7383).

--- a/src/lagoonsaddle/edge/entry_settings.cpp
+++ b/src/lagoonsaddle/edge/entry_settings.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -87,6 +89,17 @@
     return valid ? value : otherwise;
 }
 
+/*! @brief Returns the first port above those of peers and metrics at which no other server of the node listens; it is
+ * the same on all nodes, as their ports are. */
+[[nodiscard]] std::uint16_t default_relay_port(const entry_settings& values) {
+    const std::array used{values.caller_address.port, values.readiness_address.port, values.metrics_port};
+    auto port = static_cast<std::uint16_t>(values.peer_port + 2u);
+    while(port < std::numeric_limits<std::uint16_t>::max() && std::ranges::find(used, port) != used.end()) {
+        ++port;
+    }
+    return port;
+}
+
 [[nodiscard]] entry_settings decode(const json& object, const environment_settings& environment) {
     if(!object.is_object()) {
         throw settings_error{"(file)", "must be an object"};
@@ -102,7 +115,7 @@
     if(object.contains("metrics_port")) {
         values.metrics_port = static_cast<std::uint16_t>(get_number(object, "metrics_port", 1.0, port_max));
     }
-    values.relay_port = static_cast<std::uint16_t>(values.peer_port + 2u);
+    values.relay_port = default_relay_port(values);
     if(object.contains("relay_port")) {
         values.relay_port = static_cast<std::uint16_t>(get_number(object, "relay_port", 1.0, port_max));
     }
--- a/test/edge/entry_settings_test.cpp
+++ b/test/edge/entry_settings_test.cpp
@@ -56,6 +56,14 @@
     CHECK(explicit_relay_port->relay_port == 7390u);
 }
 
+// Guards against a node that cannot relay connections of its peers, because another of its servers has the port.
+TEST_CASE_FIXTURE(
+    entry_settings_fixture, "parse_entry_settings_default_relay_port_is_used_otherwise_takes_the_next_one") {
+    const auto values = parse_entry_settings(this->with_value("listen_readiness", "\"10.0.0.1:7382\""));
+    REQUIRE(values.has_value());
+    CHECK(values->relay_port == 7383u);
+}
+
 // Guards against limits of memory that do not follow from the machine.
 TEST_CASE_FIXTURE(entry_settings_fixture, "parse_entry_settings_memory_limits_follow_machine_unless_set") {
     constexpr std::size_t mib{1024u * 1024u};
