edge: the end of a long partition is newer than its announcement, and announcements are repeated

What callers saw (by reading; no run of a fleet has shown it): a node that had been partitioned for more than two minutes was taken for partitioned by the others until it was started again: no candidate for leases, and no relay. Cause: an announcement is removed after two minutes, and the next one began again at version 1. Others that had kept the value ignored it as no newer, and nothing made them forget it; it was not repeated during the partition. A process that started again at its name could take the announcement of the earlier one for its own. Change: versions of a node's announcements only grow; a partition is announced every 30 s; all nodes forget an announcement at the end of its time; one of an earlier process at the own name is replaced at once. The messages are as before, so that nodes of both builds understand each other.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -231,7 +231,7 @@
         this->quarantine.merge(value);
         this->prompt_parts.apply(value);
         this->limits.apply(value);
-        this->partitions.apply(value);
+        this->partitions.apply(value, this->context.clock.now());
         if(value.kind == configuration_item_kind) {
             this->configuration_updates->announce(value.version);
         }
--- a/src/lagoonsaddle/edge/placement_service_leases.cpp
+++ b/src/lagoonsaddle/edge/placement_service_leases.cpp
@@ -71,7 +71,7 @@
     if(!same_boot || stopping) {
         return holder_status::ended;
     }
-    if(this->context.partitions.contains(found->info)) {
+    if(this->context.partitions.contains(found->info, this->context.clock.now())) {
         // It releases the lease when it can; until then it may be thought to give orders.
         return holder_status::unreachable;
     }
@@ -80,7 +80,7 @@
 
 bool placement_service::is_candidate(const fleet::member& node) const {
     return node.is_live() && node.state != fleet::member_state::leaving &&
-           !this->context.partitions.contains(node.info) &&
+           !this->context.partitions.contains(node.info, this->context.clock.now()) &&
            !this->context.unanswered.contains(node.info.name, this->context.clock.now());
 }
 
@@ -214,7 +214,8 @@
 }
 
 bool placement_service::is_partitioned() const {
-    return this->context.partitions.contains({.name = this->settings.node_name, .boot_id = this->settings.boot_id});
+    return this->context.partitions.contains(
+        {.name = this->settings.node_name, .boot_id = this->settings.boot_id}, this->context.clock.now());
 }
 
 void placement_service::contact_unknown_holder(const lease_tracker& lease) {
--- a/src/lagoonsaddle/edge/upstream_paths.cpp
+++ b/src/lagoonsaddle/edge/upstream_paths.cpp
@@ -112,6 +112,7 @@
         if(!this->sampling && this->monitor.is_sample_due(this->context.clock.now())) {
             co_await this->run_sample({});
         }
+        this->context.partitions.repeat_announcement(this->context.membership, this->context.clock.now());
     }
 }
 
@@ -175,7 +176,7 @@
                                 .add("tried", static_cast<std::int64_t>(sample.tried))
                                 .add("upstreams", static_cast<std::int64_t>(this->context.upstreams.all().size()))
                                 .add("relayed", static_cast<std::int64_t>(this->relayed.size())));
-    this->context.partitions.announce(this->context.membership, this->partitioned());
+    this->context.partitions.announce(this->context.membership, this->partitioned(), this->context.clock.now());
     if(this->partitioned()) {
         this->cancel_silent_exchanges();
     }
@@ -198,9 +199,10 @@
 std::vector<fleet::member> upstream_paths::relays(const std::set<std::string>& excluded) const {
     std::vector<fleet::member> found{};
     const auto members = this->context.membership.members();
-    std::ranges::copy_if(*members, std::back_inserter(found), [this, &excluded](const fleet::member& other) {
+    const auto now = this->context.clock.now();
+    std::ranges::copy_if(*members, std::back_inserter(found), [this, &excluded, now](const fleet::member& other) {
         return other.state == fleet::member_state::alive && other.info.name != this->settings.node_name &&
-               !excluded.contains(other.info.name) && !this->context.partitions.contains(other.info);
+               !excluded.contains(other.info.name) && !this->context.partitions.contains(other.info, now);
     });
     return found;
 }
--- a/test/edge/placement_service_test.cpp
+++ b/test/edge/placement_service_test.cpp
@@ -85,13 +85,13 @@
 // again.
 TEST_CASE_FIXTURE(placement_fixture, "maintain_lease_partitioned_holder_releases_it_until_the_partition_has_healed") {
     REQUIRE(this->acquire_lease());
-    this->partitions.announce(*this->membership, true);
+    this->partitions.announce(*this->membership, true, this->clock.now());
     REQUIRE(this->run_until([this] { return this->store.leases["z"].lease.holder.empty(); }));
     CHECK_FALSE(this->placement->may_order_loads("z"));
     // Longer than the absence of a holder after which a lease is acquired.
     CHECK_FALSE(this->run_until(
         [this] { return !this->store.leases["z"].lease.holder.empty(); }, std::chrono::milliseconds{1'500}));
-    this->partitions.announce(*this->membership, false);
+    this->partitions.announce(*this->membership, false, this->clock.now());
     CHECK(this->acquire_lease());
 }
 
