test: planned stops beside a slow store, lost answers, and in the first second

Change: LastRequestsTest plays the last moments of a node also with a store that answers after 2 s or whose answers are lost, and for a node that is told to stop as soon as it listens.

--- a/test/platform_node/planned_stop_test.py
+++ b/test/platform_node/planned_stop_test.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import io
 import itertools
 import signal
 import socket
@@ -20,6 +21,8 @@
 # Time for which a balancer may send requests to a stopping node, and the time that it has in all.
 IN_USE_S = 3.0
 GRACE_S = 8.0
+# Longer than a node waits for an answer of the store.
+SLOW_STORE_S = 2.0
 
 
 class Call:
@@ -75,9 +78,23 @@
         handler.reply(200, b"done", {"X-Attempt-Id": request_id, "X-Response-Stamp": "s"})
 
 
+class TroubledStore(standin.Store):
+    """A store that answers late or whose answers are lost, as `trouble` says; what it is asked takes effect."""
+
+    trouble = None
+
+    def respond(self, handler, body):
+        if self.trouble == "slow":
+            time.sleep(SLOW_STORE_S)
+        if self.trouble == "lost":
+            handler.wfile, handler.close_connection = io.BytesIO(), True
+        super().respond(handler, body)
+
+
 class LastRequestsTest(EntryNodeCase):
-    """The holder of a lease is terminated while the store is down, so that it cannot give the lease back."""
+    """The holder of a lease is terminated while the store is in trouble, so that it cannot give the lease back."""
 
+    STORE_TYPE = TroubledStore
     CONFIGURATION = {**CONFIGURATION,
                      "routes": [*CONFIGURATION["routes"], {"name": "b", "host": "h", "pathPrefix": "/b/", "kind": "unsafe",
                                                            "timeoutMs": 4000, "targetLatencyMs": 1000, "maxAttempts": 1,
@@ -100,20 +117,25 @@
             connection.request("POST", "/b/1", b"x", {"Host": "h", "X-Attempt-Id": request_id})
             results[request_id] = connection.getresponse().read()
 
-    def test_request_in_the_last_moment_is_not_sent_on_and_cut_off(self):
-        """From the decision to exit on, a node must not read requests any more that it cannot answer."""
-        self.start_fleet(2)
-        holder = next(node for node in self.nodes if "event=lease_acquired zone=z" in self.read_log(node))
-        connections = [http.client.HTTPConnection(holder.ip, holder.ports[0], timeout=GRACE_S)
+    def holder(self):
+        return next(node for node in self.nodes if "event=lease_acquired zone=z" in self.read_log(node))
+
+    def connect(self, node):
+        """Opens connections to a node, of which one has been used."""
+        connections = [http.client.HTTPConnection(node.ip, node.ports[0], timeout=GRACE_S)
                        for _ in range(self.CONNECTIONS)]
         results = {}
         self.eventually(lambda: self.call(connections[0], next(self.ids), results) or b"done" in results.values(),
                         "the service is reached")
         for connection in connections[1:]:
             connection.connect()
-        self.store.unavailable = True
+        return connections
+
+    def check_last_requests(self, node, connections):
+        """Terminates a node and uses the open connections around the moment at which it decides to exit."""
+        results = {}
         begin = time.monotonic()
-        holder.process.send_signal(signal.SIGTERM)
+        node.process.send_signal(signal.SIGTERM)
         callers = [threading.Thread(target=self.call, args=(connection, f"late{number}", results,
                                                             begin + self.DECIDED_S + 0.003 * number))
                    for number, connection in enumerate(connections)]
@@ -124,7 +146,39 @@
         executed = {request_id for request_id, _ in self.service.executed}
         self.assertEqual([], [request_id for request_id, body in results.items()
                               if request_id in executed and body is None])
-        self.assertEqual(0, holder.process.wait(CONDITION_TIMEOUT_S))
+        self.assertEqual(0, node.process.wait(CONDITION_TIMEOUT_S))
+
+    def test_request_in_the_last_moment_is_not_sent_on_and_cut_off(self):
+        """From the decision to exit on, a node must not read requests any more that it cannot answer."""
+        self.start_fleet(2)
+        connections = self.connect(self.holder())
+        self.store.unavailable = True
+        self.check_last_requests(self.holder(), connections)
+
+    def test_request_in_the_last_moment_beside_a_slow_store_is_not_cut_off(self):
+        """The same while the node waits for the answer to the release of its lease."""
+        self.start_fleet(2)
+        connections = self.connect(self.holder())
+        self.store.trouble = "slow"
+        self.check_last_requests(self.holder(), connections)
+
+    def test_request_in_the_last_moment_beside_lost_answers_is_not_cut_off(self):
+        """The same for a node that does not learn that it has released its lease."""
+        self.start_fleet(2)
+        connections = self.connect(self.holder())
+        self.store.trouble = "lost"
+        self.check_last_requests(self.holder(), connections)
+
+    def test_node_stopped_in_its_first_second_cuts_nothing_off(self):
+        """A node that is told to stop just after its start must answer what it has sent on."""
+        self.start_fleet(2)
+        node = self.holder()
+        node.process.kill()
+        node.process.wait()
+        node.start()
+        self.eventually(node.is_listening, "the node listens")
+        self.check_last_requests(node, [http.client.HTTPConnection(node.ip, node.ports[0], timeout=GRACE_S)
+                                        for _ in range(self.CONNECTIONS)])
 
 
 class LastNodeTest(EntryNodeCase):
