test, known red: dropped log lines do not crowd out what a failed test prints

Cause: the failed run of platform_node_brittle_engines printed 40 lines that count dropped lines, and nothing of what the nodes believed. Change: such lines are no lines about the state of a node.

--- a/test/platform_node/entry_node_case.py
+++ b/test/platform_node/entry_node_case.py
@@ -24,7 +24,7 @@
 LOG_LINES_SHOWN = 15
 STATE_LINES_SHOWN = 40
 REQUEST_EVENTS = ("event=request ", "event=sent ", "event=attempt ", "event=load ", "event=placed ", "event=relay ",
-                  "event=order ")
+                  "event=order ", "event=log_lines_dropped ")
 COMPLETE_STREAM = "".join(f"id: {number}\ndata: {{0}}\n\n" for number in range(1, standin.EVENTS_PER_STREAM + 1))
 CONFIGURATION = {"version": 1, "routes": [{
     "name": "r", "host": "h", "pathPrefix": "/a/", "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 1000,
