http: a response to HEAD ends with its head, on both sides of a node

Towards callers the server sent the body of its answer to a HEAD, which a caller takes for the beginning of its next answer on the connection: 33 bytes of chunks, 5 of a body. Towards upstreams the client waited for the body that the fields of an answer to HEAD describe: such an exchange ended with an error, and a body that was sent all the same was given to the caller. Cause: neither side looked at the method. Beast sends and expects a body unless it is told. Change: the server writes only the head, and states no length where it knows none; the client's parser skips the body.

--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -160,7 +160,7 @@
             this->write_beside(outgoing, co_await asio::this_coro::executor);
         }
         if(!failure) {
-            failure = co_await this->read_head(options);
+            failure = co_await this->read_head(message.method, options);
         }
         if(failure == beast_http::error::end_of_stream && options.control) {
             options.control->ended_unanswered = true;
@@ -278,12 +278,14 @@
         beast_http::async_write(*this->socket, *outgoing, asio::bind_executor(executor, std::move(finished)));
     }
 
-    /*! @brief Reads response heads until one belongs to the request. */
-    asio::awaitable<boost::system::error_code> read_head(const exchange_options& options) {
+    /*! @brief Reads response heads until one belongs to the request, which has this method. */
+    asio::awaitable<boost::system::error_code> read_head(std::string_view method, const exchange_options& options) {
         for(unsigned skipped{}; skipped <= foreign_heads_max; ++skipped) {
             this->parser.emplace();
             this->progress = {};
             this->body_bytes = 0u;
+            // The fields of a response to HEAD describe a body that does not follow.
+            this->parser->skip(method == head_method);
             this->parser->body_limit(options.body_limit_bytes.value_or(this->connections->options().body_limit_bytes));
             boost::system::error_code failure{};
             co_await beast_http::async_read_header(
@@ -404,7 +406,7 @@
 asio::awaitable<core::result<std::unique_ptr<response_stream>>> client::open(
     core::endpoint target, request message, exchange_options options) {
     const auto executor = co_await asio::this_coro::executor;
-    const bool safe = options.resend_safe && (message.method == "GET" || message.method == "HEAD");
+    const bool safe = options.resend_safe && (message.method == "GET" || message.method == head_method);
     for(auto reuse_within = options.reuse_within;; reuse_within = {}) {
         auto opened = std::make_unique<stream>(this->connections, target, executor);
         if(options.control) {
--- a/src/lagoonsaddle/http/internal_beast.hpp
+++ b/src/lagoonsaddle/http/internal_beast.hpp
@@ -2,6 +2,7 @@
 #define LAGOONSADDLE_HTTP_INTERNAL_BEAST_HPP
 
 #include <cstddef>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -42,6 +43,9 @@
     return copy;
 }
 
+/*! @brief Method whose responses have no body, whatever their fields state (RFC 9110, 9.3.2). */
+inline constexpr std::string_view head_method{"HEAD"};
+
 /*! @brief Bytes of chunk headers and trailers that any body may have in addition to its own size. */
 inline constexpr std::size_t framing_allowance{64u * 1024u};
 
--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -92,9 +92,18 @@
         }
         reply.body() = std::move(message.body);
         reply.keep_alive(this->keeps_alive());
-        reply.prepare_payload();
+        // The length of a body that another server left out of its response to HEAD is not known.
+        if(!this->head_only || !reply.body().empty()) {
+            reply.prepare_payload();
+        }
         boost::system::error_code failure{};
-        co_await beast_http::async_write(this->stream, reply, asio::redirect_error(asio::use_awaitable, failure));
+        if(this->head_only) {
+            beast_http::response_serializer<beast_http::string_body> serializer{reply};
+            co_await beast_http::async_write_header(
+                this->stream, serializer, asio::redirect_error(asio::use_awaitable, failure));
+        } else {
+            co_await beast_http::async_write(this->stream, reply, asio::redirect_error(asio::use_awaitable, failure));
+        }
         co_return this->outcome(failure);
     }
 
@@ -121,6 +130,8 @@
         boost::system::error_code failure{};
         if(!this->open) {
             failure = asio::error::not_connected;
+        } else if(this->head_only) {
+            co_return core::result<void>{};
         } else if(this->close_delimited) {
             co_await asio::async_write(this->stream, asio::buffer(data.data(), data.size()),
                 asio::redirect_error(asio::use_awaitable, failure));
@@ -133,7 +144,7 @@
 
     asio::awaitable<core::result<void>> finish() override {
         boost::system::error_code failure{};
-        if(!this->close_delimited) {
+        if(!this->close_delimited && !this->head_only) {
             co_await asio::async_write(
                 this->stream, beast_http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, failure));
         }
@@ -224,6 +235,7 @@
             co_return false;
         }
         this->busy = true;
+        this->head_only = false;
         const activity counted{this->owner->active};
         core::byte_reservation reserved{this->owner->options.body_memory.get()};
         request message{};
@@ -268,6 +280,7 @@
         }
         this->keep_alive = parser.get().keep_alive();
         this->http_version = parser.get().version();
+        this->head_only = parser.get().method() == beast_http::verb::head;
         if(auto rejected = copy_head(parser, message)) {
             co_return rejected;
         }
@@ -437,6 +450,8 @@
     bool body_unfinished{false};
     /*! @brief Whether the end of the connection ends the body that `begin` has started. */
     bool close_delimited{false};
+    /*! @brief Whether the response ends with its head, as the request is a HEAD. */
+    bool head_only{false};
     /*! @brief Whether a request is being received or handled. */
     bool busy{false};
     bool handling{false};
--- a/test/http/loopback_test.cpp
+++ b/test/http/loopback_test.cpp
@@ -340,6 +340,24 @@
     CHECK(end == asio::error::connection_reset);
 }
 
+// Guards against the body of an answer to HEAD, which the caller takes for the beginning of its next answer.
+TEST_CASE_FIXTURE(loopback_fixture, "server_answers_to_head_have_no_body") {
+    for(const std::string_view target : {"/chunks", "/field", "/echo"}) {
+        CAPTURE(target);
+        const auto answers =
+            this->raw_exchange("HEAD " + std::string{target} + " HTTP/1.1\r\nhost: a\r\nx-id: inner\r\n\r\n" +
+                               "POST /echo HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 4\r\n\r\nnext");
+        const auto end_of_head = answers.find("\r\n\r\n");
+        REQUIRE(end_of_head != std::string::npos);
+        const auto second = answers.substr(end_of_head + 4u);
+        CHECK(second.find("HTTP/1.1 200") == 0u);
+        CHECK(second.ends_with("\r\n\r\nnext"));
+    }
+    const auto rejection = this->raw_exchange("HEAD /a HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n");
+    CHECK(rejection.find("HTTP/1.1 400") == 0u);
+    CHECK(rejection.ends_with("\r\n\r\n"));
+}
+
 // Guards against a planned stop that refuses connections which the balancer still sends, or keeps them open.
 TEST_CASE_FIXTURE(loopback_fixture, "server_drain_answers_and_closes_connection") {
     this->listener.begin_drain();
