http: a response whose end is in doubt is not passed on

Of answers with a transfer coding other than 'chunked' the caller got the coded bytes as the body, since the field itself is dropped (gzip, xchunked; 'chunked, identity' and 'chunked, gzip' with the sizes of their chunks); with a coding and a length, the body was as long as the length said, and the connection was used again although its end is elsewhere (RFC 9112, 6.3). Compressed chunks and chunks in HTTP/1.0 kept their connection, too. Change: check_response_framing looks at the fields of each response but interim ones, also of those that are skipped; where the end or the content is in doubt, the exchange fails as one that may have run, and the connection is closed. A response without length and codings, or with 'identity', lasts until the connection ends, as before. Bytes after an answer, two lengths, signs, folded fields and bad chunk sizes held before.

--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -10,6 +10,7 @@
 #include <lagoonsaddle/http/internal_beast.hpp>
 #include <lagoonsaddle/http/internal_body_reader.hpp>
 #include <lagoonsaddle/http/internal_connection_pool.hpp>
+#include <lagoonsaddle/http/response_framing.hpp>
 
 namespace lagoonsaddle::http {
 
@@ -297,6 +298,11 @@
             if(this->status() / 100u == 1u) {
                 continue;
             }
+            const auto framing = check_response_framing(this->head, this->parser->get().version());
+            if(framing == response_framing::in_doubt) {
+                co_return beast_http::make_error_code(beast_http::error::bad_transfer_encoding);
+            }
+            this->single_use = this->single_use || framing == response_framing::last_on_connection;
             if(!options.accepts || options.accepts(this->status(), this->head)) {
                 co_return boost::system::error_code{};
             }
@@ -331,18 +337,19 @@
         if(this->connections->options().close_idle_after_loss) {
             this->connections->close_idle(this->target);
         }
-        const auto cause = this->guard.expired()    ? core::reason::timeout
-                           : exceeds_limit(failure) ? core::reason::protocol_error
-                                                    : core::reason::connection_lost;
+        const auto cause = this->guard.expired()     ? core::reason::timeout
+                           : is_no_response(failure) ? core::reason::protocol_error
+                                                     : core::reason::connection_lost;
         auto message = core::to_string(this->target) + ": " + (this->guard.expired() ? "timed out" : failure.message());
         message += this->from_pool ? " on a reused connection" : "";
         return core::fail(cause, core::verdict::may_have_run, std::move(message));
     }
 
-    /*! @brief Returns whether the peer has sent more than a response may have. */
-    [[nodiscard]] static bool exceeds_limit(const boost::system::error_code& failure) {
-        return failure == beast_http::error::buffer_overflow || failure == beast_http::error::header_limit ||
-               failure == beast_http::error::body_limit || failure == asio::error::message_size;
+    /*! @brief Returns whether the peer has sent more than a response may have, or one whose end is in doubt. */
+    [[nodiscard]] static bool is_no_response(const boost::system::error_code& failure) {
+        return failure == beast_http::error::bad_transfer_encoding || failure == beast_http::error::buffer_overflow ||
+               failure == beast_http::error::header_limit || failure == beast_http::error::body_limit ||
+               failure == asio::error::message_size;
     }
 
     [[nodiscard]] bool reusable() const {
