test: stops that were not tried, and relayed connections in the last moment

Not tried so far: a stop in the first second beside load, requests that wait for a place when the end comes, engines that answer 408. The mend of relayed connections had a test of its function only. Change: platform_node_planned_stop_under_load has the three stops; platform_node_planned_stop_of_relay asks the relay port of a stopping lease holder whose store is down, until the process has ended.

--- a/test/platform_node/planned_stop_test.py
+++ b/test/platform_node/planned_stop_test.py
@@ -1,6 +1,7 @@
 """Tests the planned stop of an entry node whose callers keep using their open connections until the process is gone."""
 
 import contextlib
+import errno
 import http.client
 import io
 import itertools
@@ -13,7 +14,6 @@
 import standin
 from entry_node_case import COMPLETE_STREAM, CONDITION_TIMEOUT_S, CONFIGURATION, EntryNodeCase
 
-CALLERS = 24
 BEFORE_STOP_S = 1.0
 # A request may go without an answer only when it crosses the close of its connection: when it was sent less than LOST_S
 # before the end and reached no engine.
@@ -21,6 +21,9 @@
 # Time for which a balancer may send requests to a stopping node, and the time that it has in all.
 IN_USE_S = 3.0
 GRACE_S = 8.0
+PROBE_INTERVAL_S = 0.005
+# More than a process takes to end once its sockets are closed.
+REFUSED_S = 0.04
 # Longer than a node waits for an answer of the store.
 SLOW_STORE_S = 2.0
 
@@ -91,7 +94,7 @@
         super().respond(handler, body)
 
 
-class LastRequestsTest(EntryNodeCase):
+class StoppedHolderCase(EntryNodeCase):
     """The holder of a lease is terminated while the store is in trouble, so that it cannot give the lease back."""
 
     STORE_TYPE = TroubledStore
@@ -100,15 +103,25 @@
                                                            "timeoutMs": 4000, "targetLatencyMs": 1000, "maxAttempts": 1,
                                                            "service": "plain"}],
                      "services": [*CONFIGURATION["services"], {"name": "plain", "maxConnections": 64}]}
-    CONNECTIONS = 60
-    # The node decides to exit at the end of its use, within the interval at which it looks at its requests.
-    DECIDED_S = IN_USE_S + 0.07
 
     def setUp(self):
         super().setUp()
         self.service = PlainService(self.store, "i-p", "z")
         self.engines.append(self.service)
 
+    def holder(self):
+        """Returns the running node that has acquired the lease, or None."""
+        return next((node for node in self.nodes if node.process.poll() is None
+                     and "event=lease_acquired zone=z" in self.read_log(node)), None)
+
+
+class LastRequestsTest(StoppedHolderCase):
+    """Callers keep using their open connections."""
+
+    CONNECTIONS = 60
+    # The node decides to exit at the end of its use, within the interval at which it looks at its requests.
+    DECIDED_S = IN_USE_S + 0.07
+
     def call(self, connection, request_id, results, at=0.0):
         """Sends a request on an open connection at a time; records the body of its answer, or None without one."""
         time.sleep(max(0.0, at - time.monotonic()))
@@ -117,9 +130,6 @@
             connection.request("POST", "/b/1", b"x", {"Host": "h", "X-Attempt-Id": request_id})
             results[request_id] = connection.getresponse().read()
 
-    def holder(self):
-        return next(node for node in self.nodes if "event=lease_acquired zone=z" in self.read_log(node))
-
     def connect(self, node):
         """Opens connections to a node, of which one has been used."""
         connections = [http.client.HTTPConnection(node.ip, node.ports[0], timeout=GRACE_S)
@@ -181,6 +191,35 @@
                                         for _ in range(self.CONNECTIONS)])
 
 
+class LastRelayedConnectionTest(StoppedHolderCase):
+    """Peers open connections through the node."""
+
+    def refused_span(self, node):
+        """Terminates a node; returns the time for which it ran while its relay port refused connections."""
+        unused = {*self.ports, self.ports[2] + 1}
+        relay_port = next(port for port in itertools.count(self.ports[2] + 2) if port not in unused)
+        refused = []
+        node.process.send_signal(signal.SIGTERM)
+        while node.process.poll() is None:
+            with socket.socket() as probe:
+                if probe.connect_ex((node.ip, relay_port)) == errno.ECONNREFUSED:
+                    refused.append(time.monotonic())
+            time.sleep(PROBE_INTERVAL_S)
+        return refused[-1] - refused[0] if refused else 0.0
+
+    def test_relayed_connection_in_the_last_moment_is_refused(self):
+        """From the decision to exit on, a node must not accept connections of peers that it would cut off."""
+        self.start_fleet(3)
+        # A busy machine may pass over the 0.2 s for which a node waits for its lease; it does not do so each time.
+        spans = []
+        while len(spans) < len(self.nodes) and max(spans, default=0.0) < REFUSED_S:
+            self.eventually(self.holder, "a node holds the lease")
+            self.store.unavailable = True
+            spans.append(self.refused_span(self.holder()))
+            self.store.unavailable = False
+        self.assertGreaterEqual(max(spans), REFUSED_S)
+
+
 class LastNodeTest(EntryNodeCase):
     """The only node is terminated; callers ask for adapters that are not resident yet."""
 
@@ -203,9 +242,19 @@
         self.assertEqual("", self.store.objects[("load-leases", "z")]["spec"]["holder"])
 
 
-class PlannedStopTest(EntryNodeCase):
+class PlannedStopCase(EntryNodeCase):
     """One node that is terminated under load."""
 
+    CALLERS = 24
+    EVENT_INTERVAL_S = 0.01
+    # What a caller may get; 0 stands for a connection that ends without an answer.
+    STATUSES = {0, 200, 503}
+
+    def start_fleet(self, size):
+        super().start_fleet(size)
+        for engine in self.engines:
+            engine.event_interval_s = self.EVENT_INTERVAL_S
+
     def call_until_gone(self, node, calls):
         """Sends requests, on the open connection while there is one, until the node refuses connections."""
         connection = None
@@ -231,16 +280,13 @@
             finally:
                 call.duration = time.monotonic() - call.begin
 
-    def test_stop_under_load_answers_each_accepted_request(self):
-        """A request that was accepted shortly before the process ends must not be cut off without an answer."""
-        self.start_fleet(1)
-        node, calls = self.nodes[0], []
-        for engine in self.engines:
-            engine.event_interval_s = 0.01
-        callers = [threading.Thread(target=self.call_until_gone, args=(node, calls)) for _ in range(CALLERS)]
+    def stop_under_load(self, node, load_s):
+        """Terminates a node that has been under load for a time; checks its answers and returns the served calls."""
+        calls = []
+        callers = [threading.Thread(target=self.call_until_gone, args=(node, calls)) for _ in range(self.CALLERS)]
         for caller in callers:
             caller.start()
-        time.sleep(BEFORE_STOP_S)
+        time.sleep(load_s)
         node.process.send_signal(signal.SIGTERM)
         self.assertEqual(0, node.process.wait(CONDITION_TIMEOUT_S))
         for caller in callers:
@@ -250,10 +296,70 @@
         cut_off = [(call.id, call.id in executed, round(call.duration, 3)) for call in unanswered
                    if call.id in executed or call.duration > LOST_S]
         self.assertEqual([], cut_off)
-        self.assertLessEqual({call.status for call in calls}, {0, 200, 503})
+        self.assertLessEqual({call.status for call in calls}, self.STATUSES)
+        self.assertEqual([], [call.id for call in calls if call.status == 503 and call.id in executed])
         served = [call for call in calls if call.status == 200]
-        self.assertGreater(len(served), CALLERS)
         self.assertEqual({COMPLETE_STREAM.format("a0")}, {call.body for call in served})
+        return served
+
+
+class PlannedStopTest(PlannedStopCase):
+    """Engines have places for all requests."""
+
+    def test_stop_under_load_answers_each_accepted_request(self):
+        """A request that was accepted shortly before the process ends must not be cut off without an answer."""
+        self.start_fleet(1)
+        self.assertGreater(len(self.stop_under_load(self.nodes[0], BEFORE_STOP_S)), self.CALLERS)
+
+    def test_stop_in_first_second_under_load_answers_each_accepted_request(self):
+        """The same for a node that is told to stop while it is still learning what serves."""
+        self.start_fleet(1)
+        node = self.nodes[0]
+        for load_s in (0.1, 0.4, 0.8):
+            with self.subTest(load_s=load_s):
+                node.process.kill()
+                node.process.wait()
+                node.start()
+                self.eventually(node.is_listening, "the node listens")
+                self.stop_under_load(node, load_s)
+
+
+class FullEnginesStopTest(PlannedStopCase):
+    """More callers than places at the engines."""
+
+    CALLERS = 60
+    EVENT_INTERVAL_S = 0.25
+
+    def test_request_that_waits_for_a_place_is_answered(self):
+        """A request that waits for a place when the end comes must be refused, not cut off."""
+        self.start_fleet(1)
+        self.assertGreater(len(self.stop_under_load(self.nodes[0], BEFORE_STOP_S)), 0)
+
+
+class RefusingEngine(standin.Engine):
+    """An engine that answers two of three requests 408, every second time without stating that it has not run them."""
+
+    def execute(self, handler):
+        with self.lock:
+            self.refusals = getattr(self, "refusals", 0) + 1
+            number = self.refusals
+        if number % 3 == 0:
+            return super().execute(handler)
+        fields = {"X-Attempt-Id": handler.headers["X-Attempt-Id"]}
+        return handler.reply(408, headers={**fields, "X-Not-Executed": "1"} if number % 3 == 1 else fields)
+
+
+class RefusingEnginesStopTest(PlannedStopCase):
+    """Engines that time requests out."""
+
+    ENGINE_TYPE = RefusingEngine
+    # 502: the request may have run.
+    STATUSES = {0, 200, 502, 503}
+
+    def test_request_that_engines_answer_408_is_answered(self):
+        """A request that is sent again when the end comes must be answered or refused, not cut off."""
+        self.start_fleet(1)
+        self.assertGreater(len(self.stop_under_load(self.nodes[0], BEFORE_STOP_S)), 0)
 
 
 if __name__ == "__main__":
