--- a/test/platform_node/start_test.py
+++ b/test/platform_node/start_test.py
@@ -1,13 +1,15 @@
 """Tests the first moments of an entry node process: signals and addresses that are still in use."""
 
 import contextlib
+import re
 import signal
 import socket
+import subprocess
 import threading
 import unittest
 
 from addresses import node_address
-from entry_node_case import CONDITION_TIMEOUT_S, EntryNodeCase, Node
+from entry_node_case import BINARY, CONDITION_TIMEOUT_S, EntryNodeCase, Node
 
 # Time for which the process before a node still holds an address.
 HELD_S = 0.5
@@ -55,6 +57,20 @@
         self.assertEqual(0, node.process.wait(CONDITION_TIMEOUT_S))
 
 
+class LinkedLibrariesTest(unittest.TestCase):
+    """What is linked at the start of the program, before it can hold signals."""
+
+    # The C library, which the platform may preload a library for, and what has no archive that can be linked.
+    SHARED = re.compile(r"lib(c|m|gcc_s|unwind)\.so\.|ld-linux")
+
+    def test_program_links_few_libraries_at_its_start(self):
+        """A signal that comes while libraries are being linked ends the process: that time must be short."""
+        output = subprocess.run(["readelf", "--dynamic", BINARY], check=True, capture_output=True, text=True).stdout
+        needed = re.findall(r"\(NEEDED\).*\[(.*)\]", output)
+        self.assertIn("libc.so.6", needed)
+        self.assertEqual([], [library for library in needed if not self.SHARED.match(library)])
+
+
 class HeldAddressTest(EntryNodeCase):
     """A node that starts while another process still holds one of its addresses."""
 
