--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -2,13 +2,9 @@
 #include <chrono>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-
 #include <lagoonsaddle/core/task.hpp>
 #include <lagoonsaddle/edge/internal_entry_node.hpp>
-#include <lagoonsaddle/edge/process_metrics.hpp>
 #include <lagoonsaddle/edge/sleep.hpp>
-#include <lagoonsaddle/http/json.hpp>
 #include <lagoonsaddle/wire/codec.hpp>
 
 namespace lagoonsaddle::edge {
@@ -26,20 +22,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds housekeeping_interval{50};
-/*! @brief A stopping node accepts requests for this time: the load balancer needs two failed probes, 1 s apart. */
-constexpr milliseconds traffic_drain_time{3'000};
-/*! @brief The node exits this long before the end of the stop timeout, even with requests in progress. */
-constexpr milliseconds exit_margin{400};
-constexpr milliseconds stop_poll_interval{50};
-/*! @brief Longest time that the end of a node waits until its leases are released; within `exit_margin`. */
-constexpr milliseconds lease_release_max{200};
-constexpr milliseconds lease_release_poll_interval{10};
 /*! @brief Time without an answer of the store after which it is taken for away; longer than a watch and its delay. */
 constexpr milliseconds store_silence_max{4'000};
 /*! @brief Time after the return of the store in which entries of upstreams that ended during its outage expire. */
 constexpr milliseconds entry_expiry_time{6'000};
-/*! @brief Time after the stop signal from which requests that may outlast the process are refused. */
-constexpr milliseconds long_request_refusal_delay{2'400};
 /*! @brief Delay after a watch that returned changed upstreams, which the store bills one by one. */
 constexpr milliseconds upstream_watch_delay{700};
 /*! @brief Watch timeout of urgent records: after losing its history, the store may respond only at the timeout. */
@@ -398,118 +384,6 @@
     }
 }
 
-asio::awaitable<void> entry_node::impl::stop() {
-    const auto begin = this->context.clock.now();
-    this->stopping = true;
-    this->log.write(log_line{"stop"}.add("active", static_cast<std::int64_t>(this->caller_server.active_requests())));
-    this->membership->announce_leaving();
-    this->paths->begin_stop();
-    this->caller_server.begin_drain();
-    if(this->placement->has_successor()) {
-        this->release_leases();
-    }
-    const auto limit = this->settings.stop_timeout - exit_margin;
-    this->request_forwarder.begin_stop(begin + long_request_refusal_delay, begin + limit);
-    while(true) {
-        const auto elapsed = this->context.clock.now() - begin;
-        if((elapsed >= traffic_drain_time && this->is_idle()) || elapsed >= limit) {
-            break;
-        }
-        co_await sleep_for(stop_poll_interval);
-    }
-    // Until the exit, no request may be read any more: it would be sent to an upstream and then be cut off.
-    this->caller_server.close_idle_connections();
-    this->relay_server.stop_accepting();
-    co_await this->release_remaining_leases();
-    while(!this->is_idle() && this->context.clock.now() - begin < limit) {
-        co_await sleep_for(stop_poll_interval);
-    }
-    this->membership->stop();
-    this->log.write(
-        log_line{"stopped"}.add("active", static_cast<std::int64_t>(this->caller_server.active_requests())));
-    this->context.log.flush();
-}
-
-bool entry_node::impl::is_idle() const {
-    return this->caller_server.active_requests() == 0u && this->relay_server.active_connections() == 0u;
-}
-
-void entry_node::impl::release_leases() {
-    asio::co_spawn(
-        this->context.io, [placement = this->placement] { return placement->release_leases(); },
-        core::task_end{"lease_release"});
-}
-
-asio::awaitable<void> entry_node::impl::release_remaining_leases() {
-    const auto end = this->context.clock.now() + lease_release_max;
-    if(this->placement->leases_held() > 0u) {
-        this->release_leases();
-    }
-    while(this->placement->leases_held() > 0u && this->context.clock.now() < end) {
-        co_await sleep_for(lease_release_poll_interval);
-    }
-}
-
-std::string entry_node::impl::metrics_text() {
-    const auto now = this->context.clock.now();
-    const auto gauge = [this](std::string_view name, std::string_view help, double value) {
-        this->metrics.gauge(name, help).set(value);
-    };
-    gauge("lagoonsaddle_edge_configuration_version", "Version of the configuration in force.",
-        static_cast<double>(this->routes.version()));
-    gauge("lagoonsaddle_edge_configuration_announced", "Newest version of the configuration that a peer has announced.",
-        static_cast<double>(this->configuration_updates->announced()));
-    gauge("lagoonsaddle_edge_store_epoch", "Epoch of the platform's store; rises when it is restored from a copy.",
-        static_cast<double>(this->store.epoch()));
-    gauge("lagoonsaddle_edge_upstreams", "Known upstreams.", static_cast<double>(this->upstreams.all().size()));
-    gauge("lagoonsaddle_edge_active_requests", "Requests of callers in progress.",
-        static_cast<double>(this->caller_server.active_requests()));
-    gauge("lagoonsaddle_edge_upstream_connections_made", "Connections made to upstreams since the start.",
-        static_cast<double>(this->context.client.connections_made()));
-    const auto usage = read_process_usage();
-    gauge("lagoonsaddle_edge_processor_seconds", "Processor time since the start.", usage.processor_seconds);
-    gauge("lagoonsaddle_edge_resident_bytes", "Resident memory.", usage.resident_bytes);
-    gauge("lagoonsaddle_edge_prompt_parts_recorded",
-        "Prompt parts that were in flight in a crash of an upstream, including cleared ones.",
-        static_cast<double>(this->prompt_parts.record_count()));
-    gauge("lagoonsaddle_edge_stream_origins", "Streams that may be resumed and whose origin this node knows.",
-        static_cast<double>(this->origins.record_count()));
-    gauge("lagoonsaddle_edge_reservations", "Requests that this node has placed for all nodes.",
-        static_cast<double>(this->dispatch->reservation_count()));
-    gauge("lagoonsaddle_edge_partitioned", "1 while this node is partitioned from its upstreams.",
-        this->paths->partitioned() ? 1.0 : 0.0);
-    gauge("lagoonsaddle_edge_relayed_connections", "Connections to upstreams that this node relays for peers.",
-        static_cast<double>(this->relay_server.active_connections()));
-    gauge("lagoonsaddle_edge_leases_held", "Availability zones whose loads this node orders.",
-        static_cast<double>(this->placement->leases_held()));
-    for(const auto& watcher : this->watchers) {
-        const auto last_success = watcher->last_success();
-        const std::chrono::duration<double> age{now - last_success.value_or(this->started)};
-        this->metrics
-            .gauge("lagoonsaddle_edge_store_age_seconds", "Time since the store last answered, by kind of record.",
-                {{"kind", std::string{to_string(watcher->kind())}}})
-            .set(age.count());
-    }
-    gauge("lagoonsaddle_edge_request_body_bytes", "Request bodies that this node holds.",
-        static_cast<double>(this->request_memory->reserved()));
-    gauge("lagoonsaddle_edge_response_body_bytes",
-        "Response bodies that this node holds because they are not streamed.",
-        static_cast<double>(this->response_memory.reserved()));
-    gauge("lagoonsaddle_edge_failed_tasks", "Tasks that an exception has ended since the start.",
-        static_cast<double>(core::failed_tasks()));
-    gauge("lagoonsaddle_edge_log_lines_dropped", "Log lines dropped since the start.",
-        static_cast<double>(this->context.log.dropped()));
-    return this->metrics.to_prometheus_text() + format_upstream_metrics(this->upstreams, now);
-}
-
-std::string entry_node::impl::state_json() const {
-    const nlohmann::json state{{"node", this->settings.name}, {"ready", this->ready()},
-        {"configuration_version", this->routes.version()},
-        {"upstreams", upstream_states(this->upstreams, this->context.clock.now())},
-        {"active_requests", this->caller_server.active_requests()}};
-    return state.dump();
-}
-
 entry_node::entry_node(entry_node_context context, entry_settings settings, std::uint64_t boot_id)
     : implementation{std::make_unique<impl>(context, std::move(settings), boot_id)} {}
 
--- /dev/null
+++ b/src/lagoonsaddle/edge/entry_node_state.cpp
@@ -0,0 +1,74 @@
+// What an entry node tells of itself: metrics and state.
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <lagoonsaddle/core/task.hpp>
+#include <lagoonsaddle/edge/internal_entry_node.hpp>
+#include <lagoonsaddle/edge/process_metrics.hpp>
+#include <lagoonsaddle/http/json.hpp>
+
+namespace lagoonsaddle::edge {
+
+std::string entry_node::impl::metrics_text() {
+    const auto now = this->context.clock.now();
+    const auto gauge = [this](std::string_view name, std::string_view help, double value) {
+        this->metrics.gauge(name, help).set(value);
+    };
+    gauge("lagoonsaddle_edge_configuration_version", "Version of the configuration in force.",
+        static_cast<double>(this->routes.version()));
+    gauge("lagoonsaddle_edge_configuration_announced", "Newest version of the configuration that a peer has announced.",
+        static_cast<double>(this->configuration_updates->announced()));
+    gauge("lagoonsaddle_edge_store_epoch", "Epoch of the platform's store; rises when it is restored from a copy.",
+        static_cast<double>(this->store.epoch()));
+    gauge("lagoonsaddle_edge_upstreams", "Known upstreams.", static_cast<double>(this->upstreams.all().size()));
+    gauge("lagoonsaddle_edge_active_requests", "Requests of callers in progress.",
+        static_cast<double>(this->caller_server.active_requests()));
+    gauge("lagoonsaddle_edge_upstream_connections_made", "Connections made to upstreams since the start.",
+        static_cast<double>(this->context.client.connections_made()));
+    const auto usage = read_process_usage();
+    gauge("lagoonsaddle_edge_processor_seconds", "Processor time since the start.", usage.processor_seconds);
+    gauge("lagoonsaddle_edge_resident_bytes", "Resident memory.", usage.resident_bytes);
+    gauge("lagoonsaddle_edge_prompt_parts_recorded",
+        "Prompt parts that were in flight in a crash of an upstream, including cleared ones.",
+        static_cast<double>(this->prompt_parts.record_count()));
+    gauge("lagoonsaddle_edge_stream_origins", "Streams that may be resumed and whose origin this node knows.",
+        static_cast<double>(this->origins.record_count()));
+    gauge("lagoonsaddle_edge_reservations", "Requests that this node has placed for all nodes.",
+        static_cast<double>(this->dispatch->reservation_count()));
+    gauge("lagoonsaddle_edge_partitioned", "1 while this node is partitioned from its upstreams.",
+        this->paths->partitioned() ? 1.0 : 0.0);
+    gauge("lagoonsaddle_edge_relayed_connections", "Connections to upstreams that this node relays for peers.",
+        static_cast<double>(this->relay_server.active_connections()));
+    gauge("lagoonsaddle_edge_leases_held", "Availability zones whose loads this node orders.",
+        static_cast<double>(this->placement->leases_held()));
+    for(const auto& watcher : this->watchers) {
+        const auto last_success = watcher->last_success();
+        const std::chrono::duration<double> age{now - last_success.value_or(this->started)};
+        this->metrics
+            .gauge("lagoonsaddle_edge_store_age_seconds", "Time since the store last answered, by kind of record.",
+                {{"kind", std::string{to_string(watcher->kind())}}})
+            .set(age.count());
+    }
+    gauge("lagoonsaddle_edge_request_body_bytes", "Request bodies that this node holds.",
+        static_cast<double>(this->request_memory->reserved()));
+    gauge("lagoonsaddle_edge_response_body_bytes",
+        "Response bodies that this node holds because they are not streamed.",
+        static_cast<double>(this->response_memory.reserved()));
+    gauge("lagoonsaddle_edge_failed_tasks", "Tasks that an exception has ended since the start.",
+        static_cast<double>(core::failed_tasks()));
+    gauge("lagoonsaddle_edge_log_lines_dropped", "Log lines dropped since the start.",
+        static_cast<double>(this->context.log.dropped()));
+    return this->metrics.to_prometheus_text() + format_upstream_metrics(this->upstreams, now);
+}
+
+std::string entry_node::impl::state_json() const {
+    const nlohmann::json state{{"node", this->settings.name}, {"ready", this->ready()},
+        {"configuration_version", this->routes.version()},
+        {"upstreams", upstream_states(this->upstreams, this->context.clock.now())},
+        {"active_requests", this->caller_server.active_requests()}};
+    return state.dump();
+}
+
+} // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/http/message.hpp
+++ b/src/lagoonsaddle/http/message.hpp
@@ -7,6 +7,9 @@
 
 namespace lagoonsaddle::http {
 
+/*! @brief HTTP/1.1 as a number, ten times the major version and the minor one. */
+inline constexpr unsigned http_1_1{11u};
+
 /*! @brief An HTTP request with its whole body. */
 struct request {
     /*! @brief Method in upper case, such as `POST`. */
--- a/src/lagoonsaddle/http/request_framing.cpp
+++ b/src/lagoonsaddle/http/request_framing.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <lagoonsaddle/core/text.hpp>
+#include <lagoonsaddle/http/message.hpp>
 #include <lagoonsaddle/http/request_framing.hpp>
 
 namespace lagoonsaddle::http {
@@ -11,8 +12,6 @@
 
 namespace {
 
-/*! @brief HTTP/1.1 as a number. */
-constexpr unsigned http_1_1{11u};
 constexpr std::string_view chunked_coding{"chunked"};
 /*! @brief Codings of RFC 9112, 7.2, which are known but not decoded. */
 constexpr std::array<std::string_view, 5u> compressing_codings{"compress", "deflate", "gzip", "x-compress", "x-gzip"};
--- a/src/lagoonsaddle/http/response_framing.cpp
+++ b/src/lagoonsaddle/http/response_framing.cpp
@@ -1,17 +1,11 @@
 #include <lagoonsaddle/core/text.hpp>
+#include <lagoonsaddle/http/message.hpp>
 #include <lagoonsaddle/http/response_framing.hpp>
 
 namespace lagoonsaddle::http {
 
 using core::equals_ignoring_case;
 
-namespace {
-
-/*! @brief HTTP/1.1 as a number. */
-constexpr unsigned http_1_1{11u};
-
-} // namespace
-
 response_framing check_response_framing(const fields& headers, unsigned version) {
     const auto codings = headers.find("transfer-encoding");
     if(!codings) {
--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -425,8 +425,6 @@
         std::atomic<std::size_t>& count;
     };
 
-    /*! @brief HTTP/1.1 as a number of Beast. */
-    static constexpr unsigned http_1_1{11u};
     static constexpr std::string_view continue_head{"HTTP/1.1 100 Continue\r\n\r\n"};
     static constexpr std::size_t read_size{4'096u};
     static constexpr std::size_t linger_read_size{512u};
