test: the fuzzer of the client listens once, not for each input

Cause: each input got a listener on a port of its own, and the port of a closed connection stays in use for a minute; 28,232 ports are there, so that three runs within a minute use them up. Connections to one port take none for good: the system uses theirs again. Change: one listener for all inputs. An input waits until its connection has been accepted; a refused connection, which no input can cause, now ends the fuzzer as a time-out does.

--- a/test/fuzz/http_client.cpp
+++ b/test/fuzz/http_client.cpp
@@ -24,15 +24,20 @@
 
 constexpr std::chrono::milliseconds timeout{5'000};
 
+[[nodiscard]] bool is_caused_by_input(core::reason cause) {
+    return cause != core::reason::timeout && cause != core::reason::connection_refused;
+}
+
 /*! @brief A client on the thread of the fuzzer, before a server that sends the input whatever is asked. */
 struct fuzzed_client {
     void receive(const std::uint8_t* data, std::size_t size) {
         // The context has stopped when the last input left nothing to do.
         this->context.restart();
-        tcp::acceptor acceptor{this->context, {asio::ip::make_address("127.0.0.1"), 0u}};
-        const core::endpoint server{.address = "127.0.0.1", .port = acceptor.local_endpoint().port()};
+        const core::endpoint server{.address = "127.0.0.1", .port = this->acceptor.local_endpoint().port()};
         tcp::socket accepted{this->context};
-        acceptor.async_accept(accepted, [&](const auto& failure) {
+        bool is_accepted{};
+        this->acceptor.async_accept(accepted, [&](const auto& failure) {
+            is_accepted = true;
             boost::system::error_code ignored{};
             if(!failure) {
                 asio::write(accepted, asio::buffer(data, size), ignored);
@@ -45,18 +50,19 @@
             [&is_done](const std::exception_ptr& failure, const core::result<response>& answer) {
                 is_done = true;
                 // All of the input has been sent and its end is seen, so that nothing is left to wait for.
-                if(failure || (!answer && answer.error().cause == core::reason::timeout)) {
+                if(failure || (!answer && !is_caused_by_input(answer.error().cause))) {
                     std::abort();
                 }
             });
-        while(!is_done) {
+        while(!is_done || !is_accepted) {
             this->context.run_one();
         }
-        acceptor.close();
         this->context.poll();
     }
 
     asio::io_context context{1};
+    /*! @brief One for all inputs: the port of a closed connection stays in use for a minute, and ports run out. */
+    tcp::acceptor acceptor{this->context, {asio::ip::make_address("127.0.0.1"), 0u}};
 };
 
 } // namespace
