wire: the time of a call covers the connection and the greeting of the peer

Cause: peer_client::call counted its time from the moment at which the message was sent. Before it, the connection and the greeting of the peer may each take connect_timeout (1 s): the kernel of a frozen process accepts, and nobody greets. All calls to peers with a time of their own were concerned: placements (a holder that is silent), configuration, origins of streams, records. Change: one limit for connection, greeting and first frame. The connection is made by a task of its own, so that who asked first may give up while others wait for it. Waiting for the greeting ends with the connection; a peer that has not greeted is told from one that does not know the message.

--- a/src/lagoonsaddle/wire/peer_client.cpp
+++ b/src/lagoonsaddle/wire/peer_client.cpp
@@ -1,13 +1,17 @@
 #include <algorithm>
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <lagoonsaddle/core/task.hpp>
 #include <lagoonsaddle/wire/async_queue.hpp>
 #include <lagoonsaddle/wire/codec.hpp>
 #include <lagoonsaddle/wire/internal_link.hpp>
@@ -23,6 +27,8 @@
 /*! @brief Frame of an exchange or the error that ends it. */
 using answer_item = core::result<frame>;
 using answer_queue = async_queue<answer_item>;
+using link_pointer = std::shared_ptr<internal::link>;
+using link_queue = async_queue<core::result<link_pointer>>;
 
 constexpr std::size_t answer_queue_limit{65'536u};
 
@@ -37,14 +43,31 @@
 
 } // namespace
 
+/*! @brief Time for all steps of one operation together. */
+class peer_client::time_limit {
+public:
+    explicit time_limit(std::chrono::milliseconds timeout) : end{clock_type::now() + timeout} {}
+
+    [[nodiscard]] std::chrono::milliseconds remaining() const {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->end - clock_type::now());
+        return std::max(left, std::chrono::milliseconds{0});
+    }
+
+private:
+    using clock_type = asio::steady_timer::clock_type;
+
+    clock_type::time_point end;
+};
+
 class peer_client::state : public std::enable_shared_from_this<peer_client::state> {
 public:
     state(asio::io_context& io, peer_client_options values) : context{io}, options{std::move(values)} {}
 
-    // Connections are made one at a time; the others wait for the result of the first.
-    asio::awaitable<core::result<std::shared_ptr<internal::link>>> connected() {
+    /*! @brief Returns the open connection; makes it, or waits for the one that is being made, for `timeout` at most. */
+    asio::awaitable<core::result<link_pointer>> connected(std::chrono::milliseconds timeout) {
         const auto self = this->shared_from_this();
-        std::shared_ptr<async_queue<bool>> turn{};
+        auto made = std::make_shared<link_queue>();
+        bool is_first{};
         {
             const std::lock_guard lock{this->mutex};
             if(this->current && this->current->is_open()) {
@@ -53,57 +76,45 @@
             if(this->closed) {
                 co_return core::fail(core::reason::connection_refused, "the connection was closed");
             }
-            if(this->connecting) {
-                turn = std::make_shared<async_queue<bool>>();
-                this->waiting.push_back(turn);
-            } else {
-                this->connecting = true;
-            }
+            is_first = !std::exchange(this->connecting, true);
+            this->waiting.push_back(made);
         }
-        if(turn) {
-            static_cast<void>(co_await turn->pop(this->options.connect_timeout));
-            const std::lock_guard lock{this->mutex};
-            if(this->current && this->current->is_open()) {
-                co_return this->current;
-            }
-            co_return core::fail(
-                core::reason::connection_refused, "no connection to " + core::to_string(this->options.target));
-        }
-        auto outcome = co_await this->connect();
-        std::vector<std::shared_ptr<async_queue<bool>>> resumed{};
-        {
-            const std::lock_guard lock{this->mutex};
-            this->connecting = false;
-            if(outcome) {
-                this->current = *outcome;
-                ++this->counted.connects;
-            }
-            resumed.swap(this->waiting);
+        if(is_first) {
+            // A task of its own: who asked first may give up before the connection is there, and others wait for it.
+            asio::co_spawn(
+                asio::make_strand(this->context), [self] { return self->make_connection(); },
+                core::task_end{"peer_connect"});
         }
-        for(const auto& other : resumed) {
-            other->push(true);
+        auto outcome = co_await made->pop(timeout);
+        if(!outcome) {
+            co_return core::fail(core::reason::connection_refused,
+                "no connection to " + core::to_string(this->options.target) + " in time");
         }
-        co_return outcome;
+        co_return std::move(*outcome);
     }
 
-    /*! @brief Returns whether the peer knows a type of message; waits for its greeting where that decides. */
-    asio::awaitable<bool> is_known(message_type type) {
+    /**
+     * @brief Checks that the peer knows a type of message, and waits for its greeting where that decides.
+     * @param type Type of the message.
+     * @param timeout Longest time to wait for the greeting.
+     * @return Nothing; `unavailable` when the peer does not know the type, `timeout` when it has not greeted.
+     */
+    asio::awaitable<core::result<void>> check_known(message_type type, std::chrono::milliseconds timeout) {
         if(type <= baseline_message_type) {
-            co_return true;
+            co_return core::result<void>{};
         }
         const auto self = this->shared_from_this();
-        std::shared_ptr<async_queue<bool>> turn{};
+        auto greeted = std::make_shared<async_queue<bool>>();
         {
             const std::lock_guard lock{this->mutex};
             if(this->newest_message) {
-                co_return type <= *this->newest_message;
+                co_return this->compare_newest(type);
             }
-            turn = std::make_shared<async_queue<bool>>();
-            this->waiting_for_greeting.push_back(turn);
+            this->waiting_for_greeting.push_back(greeted);
         }
-        static_cast<void>(co_await turn->pop(this->options.connect_timeout));
+        static_cast<void>(co_await greeted->pop(timeout));
         const std::lock_guard lock{this->mutex};
-        co_return this->newest_message&& type <= *this->newest_message;
+        co_return this->compare_newest(type);
     }
 
     [[nodiscard]] std::uint64_t add(const std::shared_ptr<answer_queue>& queue) {
@@ -140,7 +151,35 @@
     }
 
 private:
-    asio::awaitable<core::result<std::shared_ptr<internal::link>>> connect() {
+    /*! @brief Must be called with the mutex locked. */
+    [[nodiscard]] core::result<void> compare_newest(message_type type) const {
+        if(!this->newest_message) {
+            return core::fail(core::reason::timeout, "the peer has not greeted in time");
+        }
+        if(type > *this->newest_message) {
+            return core::fail(core::reason::unavailable, "the peer does not know this type of message");
+        }
+        return {};
+    }
+
+    asio::awaitable<void> make_connection() {
+        const auto outcome = co_await this->connect();
+        std::vector<std::shared_ptr<link_queue>> resumed{};
+        {
+            const std::lock_guard lock{this->mutex};
+            this->connecting = false;
+            if(outcome) {
+                this->current = *outcome;
+                ++this->counted.connects;
+            }
+            resumed.swap(this->waiting);
+        }
+        for(const auto& other : resumed) {
+            other->push(outcome);
+        }
+    }
+
+    asio::awaitable<core::result<link_pointer>> connect() {
         boost::system::error_code failure{};
         const auto address = asio::ip::make_address(this->options.target.address, failure);
         if(failure) {
@@ -221,22 +260,27 @@
     // Exchange ids are never reused, so that a late frame of an old connection cannot reach a new exchange.
     void lost() {
         std::unordered_map<std::uint64_t, open_answer> interrupted{};
+        std::vector<std::shared_ptr<async_queue<bool>>> ungreeted{};
         {
             const std::lock_guard lock{this->mutex};
             interrupted.swap(this->answers);
+            ungreeted.swap(this->waiting_for_greeting);
             // The peer may come back with another release.
             this->newest_message.reset();
         }
         for(const auto& [id, answer] : interrupted) {
             answer.queue->push(lost_answer("the connection to the owner node was lost"));
         }
+        for(const auto& other : ungreeted) {
+            other->push(false);
+        }
     }
 
     asio::io_context& context;
     peer_client_options options;
     mutable std::mutex mutex{};
-    std::shared_ptr<internal::link> current{};
-    std::vector<std::shared_ptr<async_queue<bool>>> waiting{};
+    link_pointer current{};
+    std::vector<std::shared_ptr<link_queue>> waiting{};
     /*! @brief Newest type of message that the peer knows; nothing before its greeting. */
     std::optional<message_type> newest_message{};
     std::vector<std::shared_ptr<async_queue<bool>>> waiting_for_greeting{};
@@ -301,15 +345,20 @@
 }
 
 asio::awaitable<core::result<std::shared_ptr<exchange>>> peer_client::open(message_type type, std::string body) {
+    return this->open_within(type, std::move(body), time_limit{this->shared->settings().connect_timeout});
+}
+
+asio::awaitable<core::result<std::shared_ptr<exchange>>> peer_client::open_within(
+    message_type type, std::string body, time_limit limit) {
     const auto origin = this->shared;
     // A link that closed between the look-up and the send did not take the frame, so that trying again is safe.
     for(int attempt{}; attempt < 2; ++attempt) {
-        auto carrier = co_await origin->connected();
+        auto carrier = co_await origin->connected(limit.remaining());
         if(!carrier) {
             co_return tl::make_unexpected(std::move(carrier.error()));
         }
-        if(!co_await origin->is_known(type)) {
-            co_return core::fail(core::reason::unavailable, "the peer does not know this type of message");
+        if(auto known = co_await origin->check_known(type, limit.remaining()); !known) {
+            co_return tl::make_unexpected(std::move(known.error()));
         }
         auto queue = std::make_shared<answer_queue>();
         const auto id = origin->add(queue);
@@ -324,11 +373,12 @@
 
 asio::awaitable<core::result<frame>> peer_client::call(
     message_type type, std::string body, std::chrono::milliseconds timeout, std::optional<interim_frame> interim) {
-    auto opened = co_await this->open(type, std::move(body));
+    const time_limit limit{timeout};
+    auto opened = co_await this->open_within(type, std::move(body), limit);
     if(!opened) {
         co_return tl::make_unexpected(std::move(opened.error()));
     }
-    auto answer = co_await (*opened)->next(timeout);
+    auto answer = co_await (*opened)->next(limit.remaining());
     while(interim && answer && answer->type == interim->type) {
         answer = co_await (*opened)->next(interim->timeout);
     }
@@ -340,8 +390,9 @@
 
 asio::awaitable<void> peer_client::notify(message_type type, std::string body) {
     const auto origin = this->shared;
-    const auto carrier = co_await origin->connected();
-    if(carrier && co_await origin->is_known(type)) {
+    const time_limit limit{origin->settings().connect_timeout};
+    const auto carrier = co_await origin->connected(limit.remaining());
+    if(carrier && co_await origin->check_known(type, limit.remaining())) {
         const frame message{.type = type, .body = std::move(body)};
         (*carrier)->send(message);
     }
--- a/src/lagoonsaddle/wire/peer_client.hpp
+++ b/src/lagoonsaddle/wire/peer_client.hpp
@@ -72,7 +72,8 @@
     ~peer_client();
 
     /**
-     * @brief Sends a message whose answer is a sequence of frames.
+     * @brief Sends a message whose answer is a sequence of frames. Waits for the connection and the greeting of the
+     * peer for `connect_timeout` at most.
      * @param type Type of the message.
      * @param body Packed message.
      * @return The exchange, or an error that is `not_run`.
@@ -84,9 +85,10 @@
      * @brief Sends a message whose answer is a single frame.
      * @param type Type of the message.
      * @param body Packed message.
-     * @param timeout Time for the first frame.
+     * @param timeout Time until the first frame, with that for the connection and the greeting of the peer.
      * @param interim Frame that says that the answer takes longer, if the peer may send one.
-     * @return The answer, or an error with a verdict; `unavailable` when the peer does not know the message.
+     * @return The answer, or an error with a verdict; `unavailable` when the peer does not know the message. One that
+     * ends before the message was sent is `not_run`.
      */
     [[nodiscard]] boost::asio::awaitable<core::result<frame>> call(message_type type, std::string body,
         std::chrono::milliseconds timeout, std::optional<interim_frame> interim = std::nullopt);
@@ -107,6 +109,11 @@
 private:
     class state;
     class open_exchange;
+    class time_limit;
+
+    [[nodiscard]] boost::asio::awaitable<core::result<std::shared_ptr<exchange>>> open_within(
+        message_type type, std::string body, time_limit limit);
+
     std::shared_ptr<state> shared;
 };
 
--- a/test/wire/peer_test.cpp
+++ b/test/wire/peer_test.cpp
@@ -180,6 +180,24 @@
     earlier.close();
 }
 
+// Guards against a call that lasts as long as the connection to a frozen peer may take: its kernel accepts, and nobody
+// greets.
+TEST_CASE_FIXTURE(peer_fixture, "call_peer_that_accepts_and_does_not_greet_ends_at_its_own_timeout") {
+    asio::ip::tcp::acceptor silent{this->context, {asio::ip::make_address("127.0.0.1"), 0u}};
+    constexpr std::chrono::milliseconds call_timeout{20};
+    peer_client other{
+        this->context, peer_client_options{.target = {.address = "127.0.0.1", .port = silent.local_endpoint().port()},
+                           .connect_timeout = 100 * call_timeout}};
+    const auto begin = asio::steady_timer::clock_type::now();
+    const auto outcome = this->start(other.call(newest_message_type, "x", call_timeout)).get();
+    const auto elapsed = asio::steady_timer::clock_type::now() - begin;
+    REQUIRE_FALSE(outcome.has_value());
+    CHECK(outcome.error().cause == core::reason::timeout);
+    CHECK(outcome.error().verdict == core::verdict::not_run);
+    CHECK(elapsed < 100 * call_timeout);
+    other.close();
+}
+
 // Guards against claiming that a request may have run when no connection was made.
 TEST_CASE_FIXTURE(peer_fixture, "peer_client_peer_not_listening_returns_not_run") {
     // Bound, so that no other process takes the port.
