edge: a node that has lost the store is not taken for a reader by hearsay

Cause: a node forgets a reader that says that it does not read, but believes the next peer that repeats its words from before, for 3 s. Change: words from before the removal are not believed; and a node that asks for records has lost the store, so that it is removed, too. Evidence: record_reader_words_from_before_the_removal_are_not_believed fails without the comparison and passes with it.

--- a/src/lagoonsaddle/edge/exchange_partners.cpp
+++ b/src/lagoonsaddle/edge/exchange_partners.cpp
@@ -9,14 +9,23 @@
 exchange_partners::exchange_partners(exchange_partners_options options) : settings{options}, random{options.seed} {}
 
 void exchange_partners::record_reader(std::string_view node, core::time_point value) {
+    if(const auto removed = this->removed_at.find(node); removed != this->removed_at.end()) {
+        if(value <= removed->second) {
+            return;
+        }
+        this->removed_at.erase(removed);
+    }
     auto& latest = this->said_at.try_emplace(std::string{node}, value).first->second;
     latest = std::max(latest, value);
 }
 
-void exchange_partners::remove_reader(std::string_view node) {
+void exchange_partners::remove_reader(std::string_view node, core::time_point now) {
     if(const auto found = this->said_at.find(node); found != this->said_at.end()) {
         this->said_at.erase(found);
     }
+    std::erase_if(this->removed_at,
+        [this, now](const auto& removed) { return now - removed.second >= this->settings.reader_lifetime; });
+    this->removed_at.insert_or_assign(std::string{node}, now);
 }
 
 std::vector<exchange_partners::reader> exchange_partners::named_readers(core::time_point now) const {
--- a/src/lagoonsaddle/edge/exchange_partners.hpp
+++ b/src/lagoonsaddle/edge/exchange_partners.hpp
@@ -43,8 +43,11 @@
      */
     void record_reader(std::string_view node, core::time_point said_at);
 
-    /*! @brief Forgets a reader that has not answered or that the store no longer answers. */
-    void remove_reader(std::string_view node);
+    /**
+     * @brief Forgets a reader that has not answered or that the store no longer answers. What other nodes repeat of its
+     * earlier words is not believed any more.
+     */
+    void remove_reader(std::string_view node, core::time_point now);
 
     /*! @brief A reader, and when it has said so. */
     struct reader {
@@ -68,6 +71,8 @@
     exchange_partners_options settings;
     std::minstd_rand random;
     std::map<std::string, core::time_point, std::less<>> said_at{};
+    /*! @brief When a node was found not to be a reader. */
+    std::map<std::string, core::time_point, std::less<>> removed_at{};
     bool next_is_reader{true};
 };
 
--- a/src/lagoonsaddle/edge/record_exchange.cpp
+++ b/src/lagoonsaddle/edge/record_exchange.cpp
@@ -91,7 +91,7 @@
     const auto answer =
         co_await peer->call(wire::message_type::records_get, std::move(question), this->settings.timeout);
     if(!answer) {
-        this->partners.remove_reader(name);
+        this->partners.remove_reader(name, this->context.clock.now());
         co_return;
     }
     const auto reply = wire::unpack<wire::records_reply>(answer->body);
@@ -100,7 +100,7 @@
         co_return;
     }
     if(std::ranges::find(reply->readers, name, &wire::store_reader::node) == reply->readers.end()) {
-        this->partners.remove_reader(name);
+        this->partners.remove_reader(name, this->context.clock.now());
     }
     this->record_readers(reply->readers);
     this->context.records.announce_configuration(reply->configuration_version, name);
@@ -115,6 +115,8 @@
 
 wire::records_reply record_exchange::make_reply(std::string_view peer, const wire::records_summary& known) {
     this->record_readers(known.readers);
+    // Only nodes that the store does not answer ask.
+    this->partners.remove_reader(peer, this->context.clock.now());
     if(this->context.records.reads_store()) {
         this->context.unanswered.record(peer, this->context.clock.now());
     }
--- a/test/edge/exchange_partners_test.cpp
+++ b/test/edge/exchange_partners_test.cpp
@@ -46,7 +46,7 @@
     const auto count = this->count_choices("c", 100u);
     CHECK(count >= 50u);
     CHECK(count <= 70u);
-    this->partners.remove_reader("c");
+    this->partners.remove_reader("c", this->now);
     CHECK(this->count_choices("c", 100u) <= 25u);
 }
 
@@ -64,6 +64,17 @@
     CHECK(this->partners.named_readers(this->now + 3s).empty());
 }
 
+// Guards against a node that asks peers for a while which have all lost the store, as others still name them as
+// readers.
+TEST_CASE_FIXTURE(exchange_partners_fixture, "record_reader_words_from_before_the_removal_are_not_believed") {
+    this->partners.record_reader("c", this->now - 1s);
+    this->partners.remove_reader("c", this->now);
+    this->partners.record_reader("c", this->now - 500ms);
+    CHECK(this->partners.named_readers(this->now).empty());
+    this->partners.record_reader("c", this->now + 1ms);
+    CHECK(this->partners.named_readers(this->now + 1ms).size() == 1u);
+}
+
 // Guards against notices that go to one peer several times, or to fewer peers than there are.
 TEST_CASE_FIXTURE(exchange_partners_fixture, "draw_peers_differ") {
     const auto drawn = this->partners.draw(this->live, 3u);
