edge: a reader of the store tells peers of new upstreams and leases, and a silent peer holds up no question

Callers of such a node are refused, or wait, although an engine has room. Cause: two waits in a row. (2) A node waited for the answer to one question before it asked the next peer, 0.4 s for each peer that did not answer; with notices to three peers one node in twenty is told by nobody and depends on its questions. Change: a reader tells the peers that it knows to be without the store, and otherwise a few that it draws, when the digest of its upstreams or leases has changed. The next question no longer waits for the answer to the last one. Notices go to five peers.

--- a/src/lagoonsaddle/edge/entry_node_records.cpp
+++ b/src/lagoonsaddle/edge/entry_node_records.cpp
@@ -205,6 +205,7 @@
         this->upstreams_known = true;
         this->placement->on_upstreams_changed();
         this->broadcast_updates();
+        this->records->notify_read_changes();
         return;
     }
     this->on_changes(kind, page);
@@ -246,6 +247,7 @@
         this->placement->on_upstreams_changed();
     }
     this->broadcast_updates();
+    this->records->notify_read_changes();
 }
 
 void entry_node::impl::on_store_recovered(record_kind kind, core::duration outage) {
--- a/src/lagoonsaddle/edge/record_exchange.cpp
+++ b/src/lagoonsaddle/edge/record_exchange.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -42,17 +43,29 @@
         }
         this->context.unanswered.record(self, now);
         if(now >= this->next_question_at) {
-            co_await this->ask_next_peer();
-            this->next_question_at = now + this->next_interval();
+            // A peer that does not answer must not hold up the question to the next one.
+            this->next_question_at = now + this->settings.start_interval;
+            asio::co_spawn(
+                this->context.io, [self = this->shared_from_this()] { return self->ask_next_peer(); },
+                core::task_end{"records_question"});
         }
     }
 }
 
 asio::awaitable<void> record_exchange::ask_next_peer() {
     const auto live = this->context.peers.live_peer_names();
-    if(auto peer = this->partners.choose(live, this->context.clock.now())) {
-        co_await this->ask(std::move(*peer));
+    auto peer = this->partners.choose(live, this->context.clock.now());
+    if(!peer) {
+        co_return;
+    }
+    const auto result = co_await this->ask(std::move(*peer));
+    if(result == question_result::unanswered) {
+        co_return;
     }
+    this->interval = result == question_result::known_differences
+                         ? std::min(this->interval * 2, this->settings.interval_max)
+                         : this->settings.interval;
+    this->next_question_at = this->context.clock.now() + this->next_interval();
 }
 
 std::vector<wire::store_reader> record_exchange::name_readers() const {
@@ -82,22 +95,22 @@
     return summary;
 }
 
-asio::awaitable<void> record_exchange::ask(std::string name) {
+asio::awaitable<record_exchange::question_result> record_exchange::ask(std::string name) {
     const auto peer = this->context.peers.find(name);
     if(!peer) {
-        co_return;
+        co_return question_result::unanswered;
     }
     auto question = wire::pack(this->summarize());
     const auto answer =
         co_await peer->call(wire::message_type::records_get, std::move(question), this->settings.timeout);
     if(!answer) {
         this->partners.remove_reader(name, this->context.clock.now());
-        co_return;
+        co_return question_result::unanswered;
     }
     const auto reply = wire::unpack<wire::records_reply>(answer->body);
     if(!reply) {
         this->context.log.write(log_line{"records_malformed"}.add("peer", name).add("message", reply.error().message));
-        co_return;
+        co_return question_result::unanswered;
     }
     if(std::ranges::find(reply->readers, name, &wire::store_reader::node) == reply->readers.end()) {
         this->partners.remove_reader(name, this->context.clock.now());
@@ -106,11 +119,11 @@
     this->context.records.announce_configuration(reply->configuration_version, name);
     const bool learned = this->context.records.merge_records(*reply, name);
     const bool differs = reply->upstreams || reply->versions || reply->leases;
-    this->interval =
-        learned || !differs ? this->settings.interval : std::min(this->interval * 2, this->settings.interval_max);
     if(learned) {
         this->notify_peers();
+        co_return question_result::learned;
     }
+    co_return differs ? question_result::known_differences : question_result::equal;
 }
 
 wire::records_reply record_exchange::make_reply(std::string_view peer, const wire::records_summary& known) {
@@ -136,15 +149,40 @@
     this->context.records.announce_configuration(known.configuration_version, peer);
     if(!this->context.records.reads_store() && this->lacks(known)) {
         asio::co_spawn(
-            this->context.io, [self = this->shared_from_this(), name = std::string{peer}] { return self->ask(name); },
+            this->context.io,
+            [self = this->shared_from_this(), name = std::string{peer}]() -> asio::awaitable<void> {
+                static_cast<void>(co_await self->ask(name));
+            },
             core::task_end{"records_question"});
     }
 }
 
 void record_exchange::notify_peers() {
-    const auto body = wire::pack(this->summarize());
+    this->notify(this->partners.draw(this->context.peers.live_peer_names(), this->settings.notified_peers));
+}
+
+void record_exchange::notify_read_changes() {
+    const auto own = this->context.records.summarize_records();
+    const auto digests = std::pair{own.upstreams, own.leases};
+    const auto told = std::exchange(this->told_digests, digests);
+    if(told == digests) {
+        return;
+    }
+    const auto now = this->context.clock.now();
     const auto live = this->context.peers.live_peer_names();
-    for(const auto& name : this->partners.draw(live, this->settings.notified_peers)) {
+    std::vector<std::string> unanswered{};
+    std::ranges::copy_if(live, std::back_inserter(unanswered),
+        [this, now](const std::string& name) { return this->context.unanswered.contains(name, now); });
+    this->notify(this->partners.draw(unanswered, this->settings.notified_unanswered_peers));
+    // Peers that have just lost the store may not have asked this node yet. The first list is no news to others.
+    if(told && unanswered.size() < this->settings.notified_peers) {
+        this->notify(this->partners.draw(live, this->settings.notified_peers));
+    }
+}
+
+void record_exchange::notify(std::span<const std::string> names) {
+    const auto body = wire::pack(this->summarize());
+    for(const auto& name : names) {
         if(const auto peer = this->context.peers.find(name)) {
             asio::co_spawn(
                 this->context.io,
--- a/src/lagoonsaddle/edge/record_exchange.hpp
+++ b/src/lagoonsaddle/edge/record_exchange.hpp
@@ -3,9 +3,13 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -61,16 +65,19 @@
 
 /*! @brief Options of `record_exchange`. */
 struct record_exchange_options {
-    /*! @brief Time between two questions while this node does not know the upstreams, and between two looks at whether
-     * the store answers. */
+    /*! @brief Time between two questions while this node does not know the upstreams or has no answer yet, and between
+     * two looks at whether the store answers. */
     std::chrono::milliseconds start_interval{100};
     /*! @brief Time between two questions otherwise. */
     std::chrono::milliseconds interval{300};
     /*! @brief Longest time between two questions when the answers tell nothing new, although records differ. */
     std::chrono::milliseconds interval_max{2'400};
     std::chrono::milliseconds timeout{300};
-    /*! @brief Number of peers that are told when this node has learned something. */
-    std::size_t notified_peers{3u};
+    /*! @brief Number of peers that are told when this node has learned something. Each node tells them once, so that a
+     * share of exp(-5) of the fleet is not told at all, and has to ask. */
+    std::size_t notified_peers{5u};
+    /*! @brief Largest number of peers without the store that are told when this node has read something new. */
+    std::size_t notified_unanswered_peers{16u};
 };
 
 /**
@@ -95,15 +102,25 @@
     /*! @brief Tells a few peers what this node knows, as it has received something from a peer. */
     void notify_peers();
 
+    /*! @brief Tells a few peers what this node has read when its upstreams or leases, which are not broadcast, have
+     * changed since it did so last. Peers that read the store themselves ignore it. */
+    void notify_read_changes();
+
 private:
     [[nodiscard]] boost::asio::awaitable<void> run();
-    [[nodiscard]] boost::asio::awaitable<void> ask(std::string peer);
+    enum class question_result { unanswered, equal, known_differences, learned };
+
+    /*! @brief Asks a peer for what this node lacks. */
+    [[nodiscard]] boost::asio::awaitable<question_result> ask(std::string peer);
+    /*! @brief Asks a peer that is drawn, and sets the time of the next such question. */
     [[nodiscard]] boost::asio::awaitable<void> ask_next_peer();
     [[nodiscard]] std::chrono::milliseconds next_interval() const;
     /*! @brief Returns what this node knows, with the readers of the store. */
     [[nodiscard]] wire::records_summary summarize() const;
     [[nodiscard]] std::vector<wire::store_reader> name_readers() const;
     void record_readers(const std::vector<wire::store_reader>& readers);
+    /*! @brief Tells the named peers what this node knows. */
+    void notify(std::span<const std::string> names);
     [[nodiscard]] bool lacks(const wire::records_summary& known) const;
 
     record_exchange_context context;
@@ -111,6 +128,8 @@
     exchange_partners partners{};
     std::chrono::milliseconds interval;
     core::time_point next_question_at{};
+    /*! @brief Digests of the upstreams and the leases when peers were last told of what this node had read. */
+    std::optional<std::pair<std::uint64_t, std::uint64_t>> told_digests{};
 };
 
 } // namespace lagoonsaddle::edge
--- a/test/platform_node/turned_away_test.py
+++ b/test/platform_node/turned_away_test.py
@@ -142,6 +142,30 @@
         time.sleep(max(known_at + SPREAD_S - time.monotonic(), 0.0))
         self.assertEqual({line: [] for line in lines}, {line: self.nodes_without_line(line) for line in lines})
 
+    def check_added_engine(self, name, frozen):
+        """Adds an engine while nodes are frozen, and checks that the others know it in time after the reader does, and the
+        frozen ones after they have woken."""
+        line = f"event=upstream_added upstream={name} "
+        others = [node for node in self.nodes if node not in frozen]
+        self.signal(frozen, signal.SIGSTOP)
+        self.engines.append(self.ENGINE_TYPE(self.store, name, "z"))
+        known_at = self.wait_for_line(self.nodes[0], line)
+        time.sleep(max(known_at + SPREAD_S - time.monotonic(), 0.0))
+        self.assertEqual([], self.nodes_without_line(line, others))
+        self.signal(frozen, signal.SIGCONT)
+        time.sleep(SPREAD_S)
+        self.assertEqual([], self.nodes_without_line(line))
+
+    def test_upstreams_that_one_node_reads_are_known_in_time_beside_frozen_nodes(self):
+        """A question to a node that does not answer must not hold up the next one, nor the reader wait to be asked."""
+        self.start_fleet(NODES)
+        self.answer_only(0)
+        for node in self.nodes[1:]:
+            self.wait_for_line(node, "event=store_lost ")
+        frozen = self.nodes[1:1 + int(NODES * FROZEN_SHARE)]
+        for number in range(ROUNDS):
+            self.check_added_engine(f"i-new{number}", frozen)
+
     def call_many(self, nodes):
         """Sends requests for several adapters to some nodes."""
         def call(node):
