test: a request that a stopping gateway node reads and cuts off is one that an engine runs

Cause: with the mend taken out, the test's own requests were read and cut off 11 ms later with no answer on two of three nodes, but none was counted: engines of 30 ms a step start a request at their next step, and the cut came before it. Change: steps of 5 ms and six tokens; a request lasts as long as before, but has begun to run when it is cut.

--- a/test/integration/planned_stop_test.py
+++ b/test/integration/planned_stop_test.py
@@ -46,8 +46,10 @@
 class LastRequestsTest(support.FleetTestCase):
     """Stops a node whose callers use open connections at any moment until it is gone."""
 
-    STEP_S = 0.03
-    # Requests that last one step, with pauses in which the node finds that none is in flight.
+    # Short steps, since an engine runs a request from its next step on: a request that is cut off has then been run.
+    STEP_S = 0.005
+    TOKENS = 6
+    # Longer than a request, so that the node finds that none is in flight.
     INTERVAL_S = 0.05
     FIRST_S, LAST_S = 0.9, 1.6
     options = {"engine": {"slots": 4, "step-ms": int(1000 * STEP_S)}}
@@ -55,7 +57,7 @@
     def call(self, connection, request_id, at, results):
         """Sends a request on an open connection at a time; records the status of its answer once that is complete."""
         time.sleep(max(0.0, at - time.monotonic()))
-        body = json.dumps({"model": "base/tail-0@v1", "prompt": request_id, "max_tokens": 1})
+        body = json.dumps({"model": "base/tail-0@v1", "prompt": request_id, "max_tokens": self.TOKENS})
         headers = {"x-deadline-ms": "5000", "x-caller-id": "caller"}
         with contextlib.suppress(OSError, http.client.HTTPException):
             connection.request("POST", "/v1/completions", body, headers)
