edge: a watch that is not answered has the other watches of its node begun anew

When the open connections to the store go silent, a node may learn of a new version 4.2 s later, although its other watches have shown the silence after 2.6 s. Its requests begin on the old version until then; the bound is 5 s, but the node is in touch again after 3 s. Cause: each watch waited for its own end; none told the others. The watch of the versions lasts up to 3.5 s, and its call 0.7 s more. Change: a watch that ends without any answer has the others given up, which are then asked for a moment on new connections. A call that is given up ends by itself and its result is dropped. Nothing is begun anew while calls fail, so that a store that is silent on all connections is asked once more for each kind and no oftener.

--- a/src/lagoonsaddle/edge/entry_node_records.cpp
+++ b/src/lagoonsaddle/edge/entry_node_records.cpp
@@ -257,6 +257,14 @@
     }
 }
 
+void entry_node::impl::on_watch_silent(record_kind kind) {
+    for(const auto& watcher : this->watchers) {
+        if(watcher->kind() != kind) {
+            watcher->begin_anew();
+        }
+    }
+}
+
 void entry_node::impl::on_store_restored(record_kind kind) {
     if(kind == record_kind::upstreams) {
         // Upstreams whose entries the copy lacks write them again, as after an outage.
--- a/src/lagoonsaddle/edge/internal_entry_node.hpp
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -64,6 +64,7 @@
     void on_list(record_kind kind, const record_page& page) override;
     void on_changes(record_kind kind, const record_page& page) override;
     void on_store_recovered(record_kind kind, core::duration outage) override;
+    void on_watch_silent(record_kind kind) override;
     void on_store_restored(record_kind kind) override;
     [[nodiscard]] bool reads_store() const override;
     [[nodiscard]] wire::records_summary summarize_records() const override;
--- a/src/lagoonsaddle/edge/record_watcher.cpp
+++ b/src/lagoonsaddle/edge/record_watcher.cpp
@@ -1,6 +1,10 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <lagoonsaddle/core/task.hpp>
 #include <lagoonsaddle/edge/record_watcher.hpp>
 #include <lagoonsaddle/edge/sleep.hpp>
 
@@ -12,6 +16,8 @@
 
 /*! @brief Delay after a stale read that returned the state before the last restore of the store. */
 constexpr std::chrono::milliseconds stale_epoch_delay{100};
+/*! @brief Longer than any call: each one ends by its own timeout. */
+constexpr std::chrono::hours call_time_max{1};
 
 [[nodiscard]] std::int64_t to_milliseconds(core::duration value) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -30,7 +36,7 @@
       random{this->settings.seed} {}
 
 std::chrono::milliseconds record_watcher::next_watch_timeout() {
-    if(this->failing_since) {
+    if(this->failing_since || this->connection_suspected) {
         return this->settings.probe_timeout;
     }
     if(!this->received_records || !this->settings.drawn_timeout_min) {
@@ -41,13 +47,39 @@
     return std::chrono::milliseconds{duration(this->random)};
 }
 
-asio::awaitable<core::result<record_page>> record_watcher::fetch_records(bool& is_list) {
+asio::awaitable<record_watcher::fetched_page> record_watcher::fetch_records(bool& is_list) {
     is_list = !this->last_revision.has_value();
     if(is_list) {
         co_return co_await this->store.list(this->settings.kind);
     }
-    co_return co_await this->store.watch(
-        this->settings.kind, *this->last_revision, this->next_watch_timeout(), this->settings.required_freshness());
+    // A task of its own, so that a call on a connection that has gone silent need not be waited for.
+    auto call = std::make_shared<call_queue>();
+    const auto timeout = this->next_watch_timeout();
+    const auto required = this->settings.required_freshness();
+    const auto executor = co_await asio::this_coro::executor;
+    asio::co_spawn(
+        executor,
+        [this, revision = *this->last_revision, timeout, required, call] {
+            return this->watch(revision, timeout, required, call);
+        },
+        core::task_end{"record_watch"});
+    this->open_call = call;
+    auto page = co_await call->pop(call_time_max);
+    this->open_call.reset();
+    co_return page.value_or(std::nullopt);
+}
+
+asio::awaitable<void> record_watcher::watch(
+    std::uint64_t revision, std::chrono::milliseconds timeout, freshness required, std::shared_ptr<call_queue> call) {
+    auto page = co_await this->store.watch(this->settings.kind, revision, timeout, required);
+    call->push(std::move(page));
+}
+
+void record_watcher::begin_anew() {
+    if(this->open_call && !this->failing_since && !this->connection_suspected) {
+        this->connection_suspected = true;
+        this->open_call->push(std::nullopt);
+    }
 }
 
 asio::awaitable<core::result<record_page>> record_watcher::read_ahead() {
@@ -70,13 +102,17 @@
                         .add("probe", this->backoff.is_probing(this->settings.kind) ? 1 : 0)
                         .add("reason", core::to_string(failure.cause))
                         .add("message", failure.message));
-    if(!this->failing_since) {
+    const bool was_failing = this->failing_since.has_value();
+    if(!was_failing) {
         this->failing_since = this->clock.now();
         this->log.write(log_line{"store_lost"}
                             .add("kind", to_string(this->settings.kind))
                             .add("reason", core::to_string(failure.cause))
                             .add("message", failure.message));
     }
+    if(!was_failing && !is_list && failure.cause == core::reason::timeout) {
+        this->observer.on_watch_silent(this->settings.kind);
+    }
 }
 
 void record_watcher::handle_success() {
@@ -134,7 +170,13 @@
     while(true) {
         bool is_list{};
         const auto begin = this->clock.now();
-        const auto page = co_await this->fetch_records(is_list);
+        const auto fetched = co_await this->fetch_records(is_list);
+        if(!fetched) {
+            this->log.write(log_line{"store_watch_begun_anew"}.add("kind", to_string(this->settings.kind)));
+            continue;
+        }
+        const auto& page = *fetched;
+        this->connection_suspected = false;
         std::chrono::milliseconds delay{0};
         if(page) {
             this->handle_success();
--- a/src/lagoonsaddle/edge/record_watcher.hpp
+++ b/src/lagoonsaddle/edge/record_watcher.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <random>
 
@@ -13,6 +14,7 @@
 #include <lagoonsaddle/edge/decision_log.hpp>
 #include <lagoonsaddle/edge/protocol.hpp>
 #include <lagoonsaddle/edge/store_backoff.hpp>
+#include <lagoonsaddle/wire/async_queue.hpp>
 
 namespace lagoonsaddle::edge {
 
@@ -58,6 +60,9 @@
     /*! @brief Called when the store responds again after failing for `outage`, before the records are passed on. */
     virtual void on_store_recovered(record_kind kind, core::duration outage) = 0;
 
+    /*! @brief Called when a watch was not answered at all, as on a connection that has gone silent. */
+    virtual void on_watch_silent(record_kind kind) = 0;
+
     /*! @brief Called when the store was restored from a copy that may lack records, before they are listed again. */
     virtual void on_store_restored(record_kind kind) = 0;
 };
@@ -92,6 +97,12 @@
      */
     [[nodiscard]] boost::asio::awaitable<core::result<record_page>> read_ahead();
 
+    /**
+     * @brief Gives up the watch that is open, if there is one, and begins a short one: what silenced the connection of
+     * another watch may have silenced this one's. Does nothing after a failed call, which is retried anyway.
+     */
+    void begin_anew();
+
     [[nodiscard]] record_kind kind() const noexcept {
         return this->settings.kind;
     }
@@ -110,8 +121,15 @@
     /*! @brief Returns the maximum duration of the next watch. */
     [[nodiscard]] std::chrono::milliseconds next_watch_timeout();
 
+    /*! @brief Result of a call; nothing when the watch was given up. */
+    using fetched_page = std::optional<core::result<record_page>>;
+    using call_queue = wire::async_queue<fetched_page>;
+
     /*! @brief Lists or watches the records. Sets `is_list` to whether the records were listed. */
-    [[nodiscard]] boost::asio::awaitable<core::result<record_page>> fetch_records(bool& is_list);
+    [[nodiscard]] boost::asio::awaitable<fetched_page> fetch_records(bool& is_list);
+    /*! @brief Makes one watch call and passes on its result. */
+    [[nodiscard]] boost::asio::awaitable<void> watch(std::uint64_t revision, std::chrono::milliseconds timeout,
+        freshness required, std::shared_ptr<call_queue> call);
     void handle_failure(const core::error& failure, bool is_list, core::duration elapsed);
     void handle_success();
     /*! @brief Passes on the records of a page; returns the delay until the next call. */
@@ -130,6 +148,10 @@
     std::optional<std::uint64_t> last_epoch{};
     std::optional<core::time_point> last_success_at{};
     std::optional<core::time_point> failing_since{};
+    /*! @brief Receives the result of the watch that is open; null while there is none. */
+    std::shared_ptr<call_queue> open_call{};
+    /*! @brief Whether the last watch was given up; the next one is short. */
+    bool connection_suspected{false};
     /*! @brief Whether the last page held records, which other nodes received at the same time. */
     bool received_records{false};
     /*! @brief Whether the last watch found that the store no longer has the history. */
--- a/test/edge/record_watcher_test.cpp
+++ b/test/edge/record_watcher_test.cpp
@@ -3,15 +3,19 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 
 #include <lagoonsaddle/edge/record_watcher.hpp>
@@ -36,6 +40,11 @@
         record_kind, std::uint64_t revision, std::chrono::milliseconds timeout, freshness required) override {
         this->watch_timeouts.push_back(timeout);
         this->calls.push_back("watch " + std::to_string(revision) + (required == freshness::stale ? " stale" : ""));
+        if(std::exchange(this->hangs, false)) {
+            this->hung();
+            asio::steady_timer never{this->context, std::chrono::hours{1}};
+            co_await never.async_wait(asio::use_awaitable);
+        }
         co_return this->next_response();
     }
 
@@ -58,6 +67,9 @@
     std::deque<core::result<record_page>> responses{};
     std::vector<std::string> calls{};
     std::vector<std::chrono::milliseconds> watch_timeouts{};
+    /*! @brief Whether the next watch is not answered; `hung` is called in it. */
+    bool hangs{false};
+    std::function<void()> hung{};
 
 private:
     [[nodiscard]] core::result<record_page> next_response() {
@@ -91,7 +103,12 @@
         this->events.emplace_back("restored");
     }
 
+    void on_watch_silent(record_kind) override {
+        ++this->silent_watches;
+    }
+
     std::vector<std::string> events{};
+    unsigned silent_watches{};
 };
 
 class recording_log final : public log_sink {
@@ -221,6 +238,30 @@
           std::vector<std::chrono::milliseconds>{watch_timeout, probe_timeout, probe_timeout, watch_timeout});
 }
 
+// Guards against a watch that waits on a silent connection although another watch of the node has shown the silence.
+TEST_CASE_FIXTURE(record_watcher_fixture, "begin_anew_open_watch_is_given_up_for_a_short_one") {
+    record_watcher watcher{this->store, this->observer, this->backoff, this->clock, this->log,
+        {.kind = record_kind::versions, .watch_timeout = watch_timeout, .probe_timeout = probe_timeout}};
+    this->store.hangs = true;
+    this->store.hung = [this, &watcher] {
+        asio::post(this->context, [&watcher] {
+            watcher.begin_anew();
+            watcher.begin_anew();
+        });
+    };
+    this->store.responses.emplace_back(page(5u, true));
+    this->store.responses.emplace_back(page(6u, true));
+    this->store.responses.emplace_back(core::fail(core::reason::timeout, "silent"));
+    asio::co_spawn(
+        this->context, [&watcher] { return watcher.run(); }, asio::detached);
+    this->context.run();
+    CHECK(this->store.calls == string_list{"list", "watch 5", "watch 5", "watch 6", "watch 6"});
+    CHECK(this->store.watch_timeouts ==
+          std::vector<std::chrono::milliseconds>{watch_timeout, probe_timeout, watch_timeout, probe_timeout});
+    CHECK(this->observer.events == string_list{"listed 5", "changed 6"});
+    CHECK(this->observer.silent_watches == 1u);
+}
+
 // Guards against nodes whose watches all end late together after connections went silent: nodes that start together, or
 // that have received the same change.
 TEST_CASE("run_many_nodes_watch_for_different_times_after_records") {
--- a/test/platform_node/silent_store_test.py
+++ b/test/platform_node/silent_store_test.py
@@ -95,6 +95,19 @@
             self.eventually(lambda line=line: line in self.read_log(self.nodes[0]), "the version is known")
             self.assertLess(time.monotonic() - begin, VERSION_S)
 
+    def test_version_is_known_when_the_node_is_in_touch_again(self):
+        """A watch on a silent connection must not be waited for once another watch of the node has shown the silence."""
+        self.start_fleet(1)
+        for version in range(1, 5):
+            watches = self.store.watches["versions"]
+            self.eventually(lambda watches=watches: self.store.watches["versions"] > watches, "a watch begins")
+            self.store.silence()
+            begin = time.monotonic()
+            self.store.put("versions", "m.a0", {"model": "m", "adapter": "a0", "version": version})
+            line = f"event=version_announced adapter=m/a0 version={version}"
+            self.eventually(lambda line=line: line in self.read_log(self.nodes[0]), "the version is known")
+            self.assertLess(time.monotonic() - begin, STABILITY_S)
+
     def test_leaving_engine_gets_nothing_new_when_all_open_connections_are_silent(self):
         """An engine that reports on a new connection that it drains must get no requests after the bound."""
         self.start_fleet(1)
