edge: watches of nodes that start together keep within 0.6 s of each other

Cause: the first watch of a node, and each one that follows records, lasted between half and all of its time, 1.75 to 3.5 s for the versions, and the nodes kept that distance for good. Change: durations are drawn from the last 0.6 s of the time of a watch. Fewer calls to the store for it, since each watch is longer.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -33,6 +33,9 @@
 /*! @brief Watch timeout of records whose delay matters less. */
 constexpr milliseconds long_watch_timeout{5'000};
 constexpr milliseconds watch_timeout_min{500};
+/*! @brief Range of the drawn durations of watches. Nodes of one start keep within it of each other; a wider one makes
+ * shorter watches, and each is billed. */
+constexpr milliseconds watch_timeout_range{600};
 /*! @brief What is left of the bound of a record after a watch on a connection that went silent: for the answer that
  * does not come, and for the watch that follows. */
 constexpr milliseconds lost_watch_margin{1'500};
@@ -279,7 +282,7 @@
         std::make_unique<record_watcher>(this->store, *this, this->shared_backoff, this->context.clock, this->log,
             record_watcher_options{.kind = kind,
                 .watch_timeout = timeout,
-                .drawn_timeout_min = timeout / 2,
+                .drawn_timeout_min = std::max(timeout / 2, timeout - watch_timeout_range),
                 .delay_after_changes = delay_after_changes,
                 .first_watch_delay = first_watch_delay,
                 .required_freshness = [this] {
