--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -1,3 +1,4 @@
+#!/usr/bin/env python3
 """Randomized fault-injection soak test of entry node processes against stand-ins for the platform.
 
 Usage: soak.py [--seeds=LIST] [--seconds=N] [--nodes=N] [--engines=N] [--fresh=MINUTES] [--keep=DIRECTORY]
