edge: a refusal holds for the address it came from, not for the id of the upstream

Cause: a request that an upstream has refused goes back to it on another connection, as a second copy of the refusal on the first one bears the id of this request. Which upstream had refused was kept by its id. When the upstream at the address has been replaced and the store states that only while the request is under way, the address comes back under another id, and the request goes out on the connection of the refusal. What callers saw: a second copy of the 421 was taken for the answer of the upstream that had begun to run the request. An unsafe request was sent on and ran twice; without a further upstream it was answered 503 although it ran. Why it works: idle connections are kept by address, and what was refused there is now remembered by the same key. Whether this is what the users saw is open: it needs a faulty upstream that answers twice and a replacement at its address.

--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -441,7 +441,7 @@
     exchange_state& state, const std::string& upstream, const response_metadata& head, unsigned status) {
     const auto now = this->context.clock.now();
     auto* known = this->context.upstreams.find(upstream);
-    state.refused_by.insert(upstream);
+    state.refused_at.insert(state.sent_to);
     state.attempt_trace += ';' + upstream + ":not_run_" + std::to_string(status);
     this->log_attempt(state, upstream, "refused", core::verdict::not_run, "status " + std::to_string(status));
     state.last_failure = core::error{.cause = core::reason::overloaded,
--- a/src/lagoonsaddle/edge/forwarder_paths.cpp
+++ b/src/lagoonsaddle/edge/forwarder_paths.cpp
@@ -55,6 +55,7 @@
     exchange_state& state, std::string upstream) {
     // A copy, because the upstream may be removed meanwhile.
     const auto entry = this->context.upstreams.find(upstream)->entry;
+    state.sent_to = entry.address;
     auto opened = co_await this->open_directly(state, entry);
     const bool not_sent = !opened && opened.error().verdict == core::verdict::not_run;
     if(!not_sent || state.control->cancelled()) {
@@ -70,7 +71,7 @@
     exchange_state& state, const upstream_entry& upstream) {
     auto options = this->make_exchange_options(state);
     options.reuse_within = this->context.paths.reuse_limit(options.reuse_within);
-    if(state.refused_by.contains(upstream.id)) {
+    if(state.refused_at.contains(upstream.address)) {
         // On the connection of the refusal, a second copy of it could not be told from an answer to this send.
         options.reuse_within = milliseconds{0};
     }
--- a/src/lagoonsaddle/edge/internal_exchange.hpp
+++ b/src/lagoonsaddle/edge/internal_exchange.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include <lagoonsaddle/core/endpoint.hpp>
 #include <lagoonsaddle/edge/event_splitter.hpp>
 #include <lagoonsaddle/edge/forwarder.hpp>
 
@@ -76,8 +77,11 @@
     bool path_lost{false};
 
     std::set<std::string> excluded{};
-    /*! @brief Upstreams that have refused the request: a second copy of that refusal has the id of this request too. */
-    std::set<std::string> refused_by{};
+    /*! @brief Address of the upstream that the request was last sent to. */
+    core::endpoint sent_to{};
+    /*! @brief Addresses from which the request was refused: a second copy of that refusal has its id too. Not the ids
+     * of upstreams, as the upstream that has refused may become known under its own id only later. */
+    std::set<core::endpoint> refused_at{};
     /*! @brief Attempts to choose an upstream. */
     unsigned placements{};
     /*! @brief Sends that reached an upstream. Reset to 0 by a retry that is charged in advance. */
