http: the wait for the end of a connection is renewed when it ends without one

Cause: the wait stays pending between the requests of a connection. With several threads its handler can run after the next request has been read: it then finds neither a byte nor an end, and nothing waited again during that request. The work on the request went on after its caller had left.

The wait is renewed when nothing is readable; it ends again only with an event of the socket.

--- /dev/null
+++ b/src/lagoonsaddle/http/internal_peer_state.hpp
@@ -0,0 +1,39 @@
+#ifndef LAGOONSADDLE_HTTP_INTERNAL_PEER_STATE_HPP
+#define LAGOONSADDLE_HTTP_INTERNAL_PEER_STATE_HPP
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
+
+namespace lagoonsaddle::http::internal {
+
+/*! @brief What a socket tells of its peer without reading from it. */
+enum class peer_state {
+    /*! @brief The connection is open and nothing is unread. */
+    silent,
+    /*! @brief Bytes are unread; an end behind them is not seen. */
+    has_sent,
+    /*! @brief The peer has ended its half, or the connection is broken or closed. */
+    closed
+};
+
+/*! @brief Returns the state of the peer of a socket. */
+[[nodiscard]] inline peer_state inspect_peer(boost::asio::ip::tcp::socket& socket) {
+    char byte{};
+    boost::system::error_code failure{};
+    socket.non_blocking(true, failure);
+    const auto count =
+        socket.receive(boost::asio::buffer(&byte, 1u), boost::asio::ip::tcp::socket::message_peek, failure);
+    if(failure == boost::asio::error::would_block) {
+        return peer_state::silent;
+    }
+    if(failure || count == 0u) {
+        return peer_state::closed;
+    }
+    return peer_state::has_sent;
+}
+
+} // namespace lagoonsaddle::http::internal
+
+#endif
--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -11,6 +11,7 @@
 #include <lagoonsaddle/http/internal_beast.hpp>
 #include <lagoonsaddle/http/internal_body_reader.hpp>
 #include <lagoonsaddle/http/internal_growing_body.hpp>
+#include <lagoonsaddle/http/internal_peer_state.hpp>
 #include <lagoonsaddle/http/json.hpp>
 #include <lagoonsaddle/http/request_framing.hpp>
 #include <lagoonsaddle/http/server.hpp>
@@ -179,31 +180,36 @@
         return {};
     }
 
-    // At most one wait is pending per connection; it stays pending between requests and is not cancelled, since
-    // cancelling would also cancel a read or write of the same socket.
+    // At most one wait is pending per connection; it stays pending between requests and is not cancelled,
+    // since cancelling would also cancel a read or write of the same socket.
     void watch_peer() {
         if(this->watching) {
             return;
         }
         this->watching = true;
-        this->stream.socket().async_wait(
-            tcp::socket::wait_read, [self = this->shared_from_this()](const boost::system::error_code& failure) {
-                self->watching = false;
-                if(self->handling && (failure || self->peer_closed())) {
-                    self->open = false;
-                    if(const auto callback = std::exchange(self->disconnect_callback, nullptr); callback) {
-                        callback();
-                    }
-                }
-            });
+        this->stream.socket().async_wait(tcp::socket::wait_read,
+            [self = this->shared_from_this()](const boost::system::error_code&) { self->check_peer(); });
     }
 
-    [[nodiscard]] bool peer_closed() {
-        char byte{};
-        boost::system::error_code failure{};
-        this->stream.socket().non_blocking(true, failure);
-        const auto count = this->stream.socket().receive(asio::buffer(&byte, 1u), tcp::socket::message_peek, failure);
-        return failure != asio::error::would_block && (failure || count == 0u);
+    void check_peer() {
+        this->watching = false;
+        if(!this->handling) {
+            return;
+        }
+        switch(inspect_peer(this->stream.socket())) {
+        case peer_state::closed:
+            this->open = false;
+            if(const auto callback = std::exchange(this->disconnect_callback, nullptr); callback) {
+                callback();
+            }
+            break;
+        case peer_state::silent:
+            // The wait was ended by the bytes of the request that is now handled.
+            this->watch_peer();
+            break;
+        case peer_state::has_sent:
+            break;
+        }
     }
 
     using body_parser = beast_http::request_parser<growing_body>;
--- /dev/null
+++ b/test/http/leaving_caller_test.cpp
@@ -0,0 +1,141 @@
+#include <atomic>
+#include <chrono>
+#include <ctime>
+#include <future>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <lagoonsaddle/http/server.hpp>
+
+namespace lagoonsaddle::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+constexpr std::chrono::milliseconds work_duration{3'000};
+/*! @brief A caller that has left is noticed within this time, also beside load; far below `work_duration`. */
+constexpr std::chrono::milliseconds notice_limit{1'000};
+constexpr std::string_view work_request{"GET /work HTTP/1.1\r\nhost: a\r\n\r\n"};
+constexpr std::string_view echo_request{"POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nnext"};
+
+/*! @brief Works on `/work` until its caller leaves; answers other requests at once with their own body. */
+class working_handler final : public handler {
+public:
+    asio::awaitable<void> handle(request message, response_writer& writer) override {
+        asio::steady_timer work{co_await asio::this_coro::executor, work_duration};
+        writer.on_disconnect([this, &work] {
+            work.cancel();
+            ++this->left;
+        });
+        if(message.target == "/work") {
+            ++this->begun;
+            boost::system::error_code ignored{};
+            co_await work.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        response answer{.status = 200u, .body = std::move(message.body)};
+        static_cast<void>(co_await writer.send(std::move(answer)));
+        writer.on_disconnect(nullptr);
+    }
+
+    std::atomic<unsigned> begun{0u};
+    std::atomic<unsigned> left{0u};
+};
+
+struct leaving_caller_fixture {
+    leaving_caller_fixture() {
+        REQUIRE(this->listener.start().has_value());
+        for(int index{}; index < 4; ++index) {
+            this->threads.emplace_back([this] { this->context.run(); });
+        }
+    }
+
+    leaving_caller_fixture(const leaving_caller_fixture&) = delete;
+    leaving_caller_fixture& operator=(const leaving_caller_fixture&) = delete;
+
+    ~leaving_caller_fixture() {
+        this->listener.close();
+        this->context.stop();
+        for(auto& thread : this->threads) {
+            thread.join();
+        }
+    }
+
+    [[nodiscard]] tcp::socket connect() {
+        tcp::socket socket{this->context};
+        socket.connect({asio::ip::make_address("127.0.0.1"), this->listener.port()});
+        socket.set_option(tcp::no_delay{true});
+        return socket;
+    }
+
+    static void send(tcp::socket& socket, std::string_view text) {
+        asio::write(socket, asio::buffer(text.data(), text.size()));
+    }
+
+    /*! @brief Waits until a count is reached, at most for `notice_limit`. */
+    [[nodiscard]] static bool reaches(const std::atomic<unsigned>& count, unsigned expected) {
+        const auto end = std::chrono::steady_clock::now() + notice_limit;
+        while(count.load() < expected && std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        }
+        return count.load() == expected;
+    }
+
+    asio::io_context context{};
+    asio::executor_work_guard<asio::io_context::executor_type> work{this->context.get_executor()};
+    working_handler target{};
+    server listener{this->context, this->target, server_options{}};
+    std::vector<std::thread> threads{};
+};
+
+} // namespace
+
+// Guards against a wait of the request before that ends in the middle of the next one and is not renewed. The next
+// request comes while the answer to the one before is on its way, or as soon as it has come.
+TEST_CASE_FIXTURE(leaving_caller_fixture, "server_caller_leaves_next_request_calls_back") {
+    constexpr unsigned rounds{40u};
+    constexpr unsigned callers{50u};
+    unsigned expected{};
+    unsigned missed{};
+    for(const bool waits_for_answer : {true, false}) {
+        CAPTURE(waits_for_answer);
+        for(unsigned round{}; round < rounds; ++round) {
+            std::vector<tcp::socket> sockets{};
+            for(unsigned index{}; index < callers; ++index) {
+                sockets.push_back(this->connect());
+                this->send(sockets.back(), echo_request);
+                if(waits_for_answer) {
+                    std::string answer{};
+                    asio::read_until(sockets.back(), asio::dynamic_buffer(answer), "next");
+                }
+                this->send(sockets.back(), work_request);
+            }
+            expected += callers;
+            REQUIRE(this->reaches(this->target.begun, expected));
+            sockets.clear();
+            static_cast<void>(this->reaches(this->target.left, expected - missed));
+            missed = expected - this->target.left.load();
+        }
+        CHECK(missed == 0u);
+    }
+}
+
+} // namespace lagoonsaddle::http
