http: bytes that a caller has sent early no longer hide that it has left

Cause: the wait for the end of a connection ended with the first readable byte, and nothing waited again during that request.

A second wait would complete at once while bytes are unread, so the state of the socket is polled for an end every 100 ms as long as the request is handled. One timer or one wait is pending per connection. The early request is read and answered after the one before, as it was.

Not known: an end behind more unread bytes than the receive buffer of the kernel takes, as it does not arrive.

--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -43,6 +43,7 @@
     connection(std::shared_ptr<state> server, tcp::socket socket)
         : owner{std::move(server)},
           stream{std::move(socket)},
+          peer_check{this->stream.get_executor()},
           buffer{this->owner->options.header_limit_bytes + framing_allowance} {}
 
     connection(const connection&) = delete;
@@ -180,7 +181,7 @@
         return {};
     }
 
-    // At most one wait is pending per connection; it stays pending between requests and is not cancelled,
+    // At most one wait or check is pending per connection; a wait stays pending between requests and is not cancelled,
     // since cancelling would also cancel a read or write of the same socket.
     void watch_peer() {
         if(this->watching) {
@@ -208,10 +209,19 @@
             this->watch_peer();
             break;
         case peer_state::has_sent:
+            this->check_peer_later();
             break;
         }
     }
 
+    // A wait would complete at once, over and over, as long as bytes of a next request are unread.
+    void check_peer_later() {
+        this->watching = true;
+        this->peer_check.expires_after(peer_check_interval);
+        this->peer_check.async_wait(
+            [self = this->shared_from_this()](const boost::system::error_code&) { self->check_peer(); });
+    }
+
     using body_parser = beast_http::request_parser<growing_body>;
 
     /*! @brief Response to a request that is not handled. */
@@ -440,9 +450,12 @@
     static constexpr std::size_t reject_drain_limit{16u * 1024u * 1024u};
     static constexpr std::chrono::milliseconds reject_linger{1'000};
     static constexpr std::chrono::milliseconds body_memory_retry_after{500};
+    /*! @brief Time between checks for an end behind unread bytes; it adds to the work for a caller that has left. */
+    static constexpr std::chrono::milliseconds peer_check_interval{100};
 
     std::shared_ptr<state> owner;
     beast::tcp_stream stream;
+    asio::steady_timer peer_check;
     /*! @brief Bounded: Beast looks for the end of a chunk header or a trailer without a limit of its own. */
     beast::flat_buffer buffer;
     std::function<void()> disconnect_callback{};
--- a/test/http/leaving_caller_test.cpp
+++ b/test/http/leaving_caller_test.cpp
@@ -108,6 +108,29 @@
 
 } // namespace
 
+// Guards against work that goes on for a caller that is gone, as bytes that it has sent early hide the end.
+TEST_CASE_FIXTURE(leaving_caller_fixture, "server_caller_leaves_after_early_bytes_calls_back") {
+    for(const std::size_t size : {0u, 2u, 10u, 4'000u, 20'000u}) {
+        for(const std::string_view way : {"close", "reset", "half_close"}) {
+            CAPTURE(size);
+            CAPTURE(way);
+            this->target.begun = 0u;
+            this->target.left = 0u;
+            auto socket = this->connect();
+            this->send(socket, work_request);
+            REQUIRE(this->reaches(this->target.begun, 1u));
+            this->send(socket, std::string(size, '\n'));
+            if(way == "half_close") {
+                socket.shutdown(tcp::socket::shutdown_send);
+            } else {
+                socket.set_option(asio::socket_base::linger{way == "reset", 0});
+                socket.close();
+            }
+            CHECK(this->reaches(this->target.left, 1u));
+        }
+    }
+}
+
 // Guards against a wait of the request before that ends in the middle of the next one and is not renewed. The next
 // request comes while the answer to the one before is on its way, or as soon as it has come.
 TEST_CASE_FIXTURE(leaving_caller_fixture, "server_caller_leaves_next_request_calls_back") {
@@ -138,4 +161,26 @@
     }
 }
 
+// Guards against an early request that is lost or answered too soon, and against a check for the end of the connection
+// that keeps a processor busy as long as bytes are unread.
+TEST_CASE_FIXTURE(leaving_caller_fixture, "server_caller_stays_after_early_bytes_is_answered_without_spinning") {
+    constexpr double processor_limit_s{0.5};
+    const std::string early{"POST /echo HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 4\r\n\r\nlast"};
+    auto socket = this->connect();
+    this->send(socket, work_request);
+    REQUIRE(this->reaches(this->target.begun, 1u));
+    const auto before = std::clock();
+    this->send(socket, early);
+    std::string received{};
+    asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n");
+    const auto used_s = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    CHECK(used_s < processor_limit_s);
+    boost::system::error_code end{};
+    asio::read(socket, asio::dynamic_buffer(received), end);
+    CHECK(end == asio::error::eof);
+    CHECK(received.find("Content-Length: 0\r\n") != std::string::npos);
+    CHECK(received.ends_with("\r\n\r\nlast"));
+    CHECK(this->target.left.load() == 0u);
+}
+
 } // namespace lagoonsaddle::http
