test: upstreams of the soak record when they are at work and notice closed connections

They slept between events and learned of a closed connection at the second write after it, if at all; no check could tell whether they worked for callers that had left. They now look at the connection every 20 ms, record the begin and the end of each run, and take the length of a run from a field of the request. An engine that is at work on a stream refuses its continuation as one without room, so that it goes on at another engine. A silent engine still applies late orders of nodes that have closed the connection.

--- a/test/soak/upstreams.py
+++ b/test/soak/upstreams.py
@@ -5,6 +5,7 @@
 import itertools
 import pathlib
 import random
+import socket
 import sys
 import threading
 import time
@@ -31,7 +32,9 @@
 BRITTLE_REFUSALS_PER_S = 5
 BRITTLE_EVENT_INTERVAL_S = 0.1
 FALL_S = 1.0
-SILENCE_POLL_S = 0.02
+CLOSE_POLL_S = 0.02
+# The field in which a caller asks for a run of this length; upstreams alone know it.
+RUN_LENGTH_FIELD = "Run-Seconds"
 
 
 def chunk(data):
@@ -46,12 +49,42 @@
         self.per_second, self.begin, self.end = per_second, time.monotonic(), None
 
 
+class Run:
+    """The work of an upstream on one request, until its answer is complete or its connection is found closed."""
+
+    def __init__(self, upstream, handler, seconds):
+        self.upstream, self.request_id = upstream, handler.headers["X-Attempt-Id"]
+        self.stream = handler.headers.get("Resumes") or self.request_id
+        self.begin, self.end = time.monotonic(), None
+        # When it ends if nothing holds it up or breaks it off.
+        self.planned_end = self.begin + seconds
+
+
+def is_closed(connection):
+    """Returns whether the peer has closed a connection on which it sends nothing."""
+    try:
+        return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def work(handler, seconds, is_silent=lambda: False):
+    """Works for some time, and until a silence ends; raises when the connection is found closed."""
+    end = time.monotonic() + seconds
+    while (remaining_s := end - time.monotonic()) > 0 or is_silent():
+        if is_closed(handler.connection):
+            raise ConnectionAbortedError
+        time.sleep(min(max(remaining_s, 0.001), CLOSE_POLL_S))
+
+
 class Upstream:
     """Base of engines and services: a fault link, and records of arrivals and executions with their times."""
 
     def init_records(self, cluster, name):
         self.cluster, self.label = cluster, name
-        self.arrivals, self.executions = [], []
+        self.arrivals, self.executions, self.work = [], [], []
         self.draining_since = None
         self.states_leaving = False
         self.limit_periods = []
@@ -85,6 +118,18 @@
         with self.lock:
             self.executions.append((time.monotonic(), request_id, path, self.draining_since))
 
+    @contextlib.contextmanager
+    def recorded_run(self, handler, seconds):
+        """Records an execution and the time that the upstream is at work on it."""
+        self.record_execution(handler.headers["X-Attempt-Id"], handler.path)
+        run = Run(self, handler, seconds)
+        with self.lock:
+            self.work.append(run)
+        try:
+            yield
+        finally:
+            run.end = time.monotonic()
+
 
 class Engine(Upstream, standin.Engine):
     """An engine that can crash, restart with the same or a new instance id, drain and be slow."""
@@ -178,7 +223,9 @@
             handler.close_connection = True
             return
         if handler.path.startswith("/-/"):
-            self.wait_while_silent()
+            # It answers late also those who have closed the connection.
+            while self.is_silent():
+                time.sleep(CLOSE_POLL_S)
         with self.lock:
             self.finish_loads()
         if handler.path == "/-/report":
@@ -194,7 +241,8 @@
             can_serve = (handler.headers.get("X-Expect-Instance") == self.name and adapter in self.resident and
                          adapter not in self.unloading)
             version = self.resident.get(adapter)
-            has_room = self.has_room()
+            # An engine that is still at work on the stream has no room for its continuation.
+            has_room = self.has_room() and not self.is_at_work(handler.headers.get("Resumes"))
             self.runs[adapter] += 1 if can_serve and has_room else 0
         if not can_serve:
             handler.reply(421, headers={"X-Instance-Id": self.name, "X-Attempt-Id": request_id, **self.statements()})
@@ -202,15 +250,20 @@
         if not has_room:
             self.refuse_for_room(handler, request_id)
             return
-        self.record_execution(request_id, handler.path)
+        events = EVENTS_PER_STREAM - int(handler.headers.get("Last-Event-Id", 0))
         try:
-            if parts & self.cluster.crashing_parts:
-                self.crash_on_request(handler, request_id)
-            else:
-                self.send_stream(handler, request_id, adapter, version)
+            with self.recorded_run(handler, events * self.event_pause(handler)):
+                if parts & self.cluster.crashing_parts:
+                    self.crash_on_request(handler, request_id)
+                else:
+                    self.send_stream(handler, request_id, adapter, version)
         finally:
             self.end_run(adapter)
 
+    def is_at_work(self, stream):
+        """Returns whether a run of a stream is under way."""
+        return stream and any(run.stream == stream and not run.end for run in self.work)
+
     def statements(self):
         fields = super().statements()
         if self.brittle_period:
@@ -241,13 +294,13 @@
         """Sends nothing for some time, and goes on."""
         self.silent_until = time.monotonic() + seconds
 
-    def wait_while_silent(self):
-        while time.monotonic() < self.silent_until:
-            time.sleep(SILENCE_POLL_S)
+    def is_silent(self):
+        return time.monotonic() < self.silent_until
 
-    def pause_between_events(self):
-        time.sleep(max(self.event_interval_s, BRITTLE_EVENT_INTERVAL_S if self.brittle_period else 0.0))
-        self.wait_while_silent()
+    def event_pause(self, handler):
+        """Returns the seconds between the events of an answer."""
+        return max(self.event_interval_s, BRITTLE_EVENT_INTERVAL_S if self.brittle_period else 0.0,
+                   float(handler.headers.get(RUN_LENGTH_FIELD, 0)) / EVENTS_PER_STREAM)
 
     def crash_on_request(self, handler, request_id):
         """Crashes for PART_CRASH_S, as each engine does that begins to answer a request with a crashing part."""
@@ -282,7 +335,7 @@
             handler.close_connection = True
         sent = [("HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items()) +
                  "\r\n").encode()]
-        self.wait_while_silent()
+        work(handler, 0.0, self.is_silent)
         handler.wfile.write(sent[0])
         if fault == "unframed_empty":
             return False
@@ -298,7 +351,7 @@
             sent.append(chunk(event) if framed else event)
             handler.wfile.write(sent[-1])
             handler.wfile.flush()
-            self.pause_between_events()
+            work(handler, self.event_pause(handler), self.is_silent)
             if fault in ("endless", "trickle") and number == 2:
                 self.send_without_end(handler, ENDLESS_PIECE if fault == "endless" else b"x",
                                       0.0 if fault == "endless" else EVENT_INTERVAL_S)
@@ -396,8 +449,9 @@
             handler.reply(503, headers={**id_header, "X-Not-Executed": "1", "Retry-After": str(RETRY_AFTER_S)})
             self.refusal_times.append(time.monotonic())
         else:
-            self.record_execution(request_id, handler.path)
-            time.sleep(EVENT_INTERVAL_S)
+            seconds = float(handler.headers.get(RUN_LENGTH_FIELD, EVENT_INTERVAL_S))
+            with self.recorded_run(handler, seconds):
+                work(handler, seconds)
             if self.failure_mode == "cut":
                 handler.close_connection = True
                 return
