test: the soak checks moved streams and requests of callers that left

No check saw a stream go on at another engine while the one before was still at work, nor work for callers that had left. Only undisturbed nodes and links count.

Calls whose callers left do not count as truncated by a shutdown, nor as not served by partitioned nodes or not begun.

--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -1,6 +1,7 @@
 """Invariants over the calls and executions of a soak run, which must hold under all injected faults."""
 
 import collections
+import itertools
 import threading
 import time
 
@@ -32,6 +33,12 @@
 PARTITIONED_FAILURE_SHARE_MAX = 1 / 50
 FALLS_MAX = 2
 FALLS_PER_ENGINE = 0.1
+# An engine may be at work so long after the request has gone on elsewhere, and after its caller has left.
+MOVED_TOLERANCE_S = 0.4
+LEFT_TOLERANCE_S = 0.5
+LEFT_ARRIVALS_MAX = 3
+LEFT_RUNS_MIN = 4
+LEFT_SHARE_MAX = 0.25
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # The recovery check calls all nodes repeatedly; each call may wait for a load.
 PROBE_INTERVAL_S = 0.1
@@ -51,7 +58,8 @@
             check_order_turns(cluster) + check_route_changes(cluster, calls) + check_draining(cluster) + check_shutdowns(cluster, calls) +
             check_retry_budget(cluster, calls) + check_limits(cluster) + check_times_to_return(cluster) +
             check_crashing_parts(cluster, calls) + check_software_versions(cluster, calls) +
-            check_resumed_share(cluster, calls) + check_partitions(cluster, calls) + check_falls(cluster, calls))
+            check_resumed_share(cluster, calls) + check_partitions(cluster, calls) + check_falls(cluster, calls) +
+            check_moved_streams(cluster, calls) + check_left_requests(cluster, calls))
 
 
 def executions_by_id(cluster):
@@ -108,6 +116,58 @@
     return labelled and only_events and (numbers == expected or unmarked and numbers == expected[:len(numbers)])
 
 
+def in_touch(cluster, call, upstream, begin, end):
+    """Returns whether the store, the node of a call and its links to an upstream were undisturbed for some time."""
+    links_up = not any(item.overlaps(begin - STABILIZATION_S, end)
+                       for item in (call.node.partitions, upstream.link.disturbances))
+    return links_up and not cluster.out_of_touch(begin - STABILIZATION_S, end, call.node)
+
+
+def check_moved_streams(cluster, calls):
+    """No stream goes on at another engine while the one before is still at work on it MOVED_TOLERANCE_S later."""
+    calls_by_id, runs = {call.id: call for call in calls}, collections.defaultdict(list)
+    for run in sorted((run for engine in cluster.engines for run in engine.work), key=lambda run: run.begin):
+        runs[run.stream].append(run)
+    violations = []
+    for stream, own in runs.items():
+        for before, after in itertools.combinations(own, 2):
+            overlap_s = (before.end or time.monotonic()) - after.begin
+            call = calls_by_id.get(before.request_id)
+            if call and before.upstream is not after.upstream and overlap_s > MOVED_TOLERANCE_S and in_touch(
+                    cluster, call, before.upstream, after.begin, after.begin + MOVED_TOLERANCE_S):
+                violations.append(f"moved stream: {stream} went on at {after.upstream.label} as {after.request_id}; "
+                                  f"{before.upstream.label} worked on {before.request_id} for {overlap_s:.2f} s more; "
+                                  f"{call.node.name}, {call.way_to_leave or 'stays'}, early {call.early_bytes[:8]!r}")
+    return violations
+
+
+def check_left_requests(cluster, calls):
+    """From LEFT_TOLERANCE_S after callers left, few of their requests reach upstreams, and few are still worked on."""
+    left = {call.id: call for call in calls if call.left_at}
+    late, lasting, at_work = [], [], []
+    for upstream in cluster.upstreams:
+        late += [request_id for at, request_id in upstream.arrivals if request_id in left and
+                 at > left[request_id].left_at + LEFT_TOLERANCE_S and
+                 in_touch(cluster, left[request_id], upstream, left[request_id].left_at, at)]
+        for run in upstream.work:
+            call = left.get(run.request_id)
+            bound = call and call.left_at + LEFT_TOLERANCE_S
+            end = run.end or time.monotonic()
+            if call and call.kind != "unsafe" and max(end, run.planned_end) > bound and in_touch(
+                    cluster, call, upstream, call.left_at, bound):
+                lasting.append(run)
+                at_work += [call] if end > bound else []
+    violations = []
+    if len(late) > LEFT_ARRIVALS_MAX:
+        violations.append(f"left: {len(late)} requests reached upstreams late after their callers left, "
+                          f"first {late[0]}")
+    if len(lasting) >= LEFT_RUNS_MIN and len(at_work) > LEFT_SHARE_MAX * len(lasting):
+        violations.append(
+            f"left: {len(at_work)} of {len(lasting)} runs went on after their callers left, of them "
+            f"{sum(bool(call.early_bytes) for call in at_work)} with bytes sent early, first {at_work[0].id}")
+    return violations
+
+
 def check_software_versions(cluster, calls):
     """At most MIXED_STREAMS_MAX streams hold events of two software versions, in one answer or over a caller's tries."""
     versions = collections.defaultdict(set)
@@ -123,7 +183,7 @@
 def check_resumed_share(cluster, calls):
     """Of the streams that are taken up where two engines of their version serve, the share that goes on is at least
     RESUMED_SHARE_MIN of the share of new streams that begin."""
-    sent = [call for call in calls if call.kind == "resumable" and call.sent and
+    sent = [call for call in calls if call.kind == "resumable" and call.sent and not call.left_at and
             not cluster.disturbed(call.begin - STABILIZATION_S, call.end, call.node)]
     resumed = [call for call in sent if call.resumes and call.engines_of_version >= 2]
     begun = [call for call in sent if not call.resumes]
@@ -141,6 +201,7 @@
     for partition in cluster.partitions:
         begin, end = partition.begin + STABILIZATION_S, partition.end or time.monotonic()
         tries = [call for call in calls if begin <= call.begin <= end and not call.resumes and
+                 not call.left_at and
                  not cluster.disturbed(call.begin - STABILIZATION_S, call.end)]
         own = [call for call in tries if call.node in partition.nodes]
         others = [call for call in tries if not call.node.partitions.overlaps(call.begin, call.end)]
@@ -252,7 +313,7 @@
     executions = executions_by_id(cluster)
     for call in calls:
         stops = [at for at in call.node.sigterm_times if call.begin <= at + world.STOP_LIMIT_S and at <= call.end]
-        if not stops or call.complete or not call.sent:
+        if not stops or call.complete or not call.sent or call.left_at:
             continue
         crosses_close = call.begin > stops[-1] and call.end - call.begin <= LOST_S
         if crosses_close and not executions.get(call.id):
