test: the soak checks that few requests are refused as malformed

On a kept connection, a request after an empty line gets 400 (bad method), though RFC 9112 (2.2) has servers ignore it. The check fails until the server skips the line.

--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -39,6 +39,8 @@
 LEFT_ARRIVALS_MAX = 3
 LEFT_RUNS_MIN = 4
 LEFT_SHARE_MAX = 0.25
+DENIED_MAX = 5
+DENIED_SHARE_MAX = 1 / 500
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # The recovery check calls all nodes repeatedly; each call may wait for a load.
 PROBE_INTERVAL_S = 0.1
@@ -59,7 +61,7 @@
             check_retry_budget(cluster, calls) + check_limits(cluster) + check_times_to_return(cluster) +
             check_crashing_parts(cluster, calls) + check_software_versions(cluster, calls) +
             check_resumed_share(cluster, calls) + check_partitions(cluster, calls) + check_falls(cluster, calls) +
-            check_moved_streams(cluster, calls) + check_left_requests(cluster, calls))
+            check_moved_streams(cluster, calls) + check_left_requests(cluster, calls) + check_denied(calls))
 
 
 def executions_by_id(cluster):
@@ -168,6 +170,14 @@
     return violations
 
 
+def check_denied(calls):
+    """Few requests are refused as malformed; the callers send none that is."""
+    denied = [call for call in calls if call.status == 400]
+    if len(denied) <= DENIED_MAX + DENIED_SHARE_MAX * len(calls):
+        return []
+    return [f"denied: {len(denied)} of {len(calls)} requests were refused as malformed, first {denied[0].id}"]
+
+
 def check_software_versions(cluster, calls):
     """At most MIXED_STREAMS_MAX streams hold events of two software versions, in one answer or over a caller's tries."""
     versions = collections.defaultdict(set)
