http: a callback for a caller that leaves is dropped when its handler has ended

Cause: the callback was kept until the response to a request had been sent. After a handler that an exception ends, the server sends a 500 while the state that the callback refers to is gone; a caller that leaves at that moment had it written to. Found by reading while requests that run twice were traced; both kinds of node register such a callback. The server drops the callback when the handler returns or throws.

--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -272,7 +272,6 @@
         this->handling = true;
         co_await this->handle(std::move(message));
         this->handling = false;
-        this->disconnect_callback = nullptr;
         co_return this->open && !this->body_unfinished && this->keeps_alive();
     }
 
@@ -359,6 +358,8 @@
         } catch(const std::exception& exception) {
             fault = exception.what();
         }
+        // The callback may use what the handler has destroyed.
+        this->disconnect_callback = nullptr;
         if(!this->has_started && this->open) {
             const core::error failure{.cause = core::reason::internal,
                 .verdict = core::verdict::may_have_run,
--- a/src/lagoonsaddle/http/server.hpp
+++ b/src/lagoonsaddle/http/server.hpp
@@ -64,7 +64,7 @@
 
     /**
      * @brief Registers a callback for a peer that closes the connection while its request is handled.
-     * @param callback Called at most once, on the handler's executor.
+     * @param callback Called at most once, on the handler's executor, and not after the handler has ended.
      */
     virtual void on_disconnect(std::function<void()> callback) = 0;
 };
--- a/test/http/leaving_caller_test.cpp
+++ b/test/http/leaving_caller_test.cpp
@@ -3,6 +3,7 @@
 #include <ctime>
 #include <future>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -60,6 +61,26 @@
     std::atomic<unsigned> left{0u};
 };
 
+/*! @brief Fails once its caller has left; counts callbacks that come after its end. */
+class failing_handler final : public handler {
+public:
+    asio::awaitable<void> handle(request, response_writer& writer) override {
+        const std::shared_ptr<void> end{nullptr, [this](void*) {
+                                            this->ended = true;
+                                        }};
+        writer.on_disconnect([this] { this->late_calls += this->ended ? 1u : 0u; });
+        this->begun.set_value();
+        this->caller_left.get_future().wait();
+        throw std::runtime_error{"the handler fails"};
+        co_return;
+    }
+
+    std::promise<void> begun{};
+    std::promise<void> caller_left{};
+    std::atomic<bool> ended{false};
+    std::atomic<unsigned> late_calls{0u};
+};
+
 struct leaving_caller_fixture {
     leaving_caller_fixture() {
         REQUIRE(this->listener.start().has_value());
@@ -80,8 +101,12 @@
     }
 
     [[nodiscard]] tcp::socket connect() {
+        return this->connect(this->listener);
+    }
+
+    [[nodiscard]] tcp::socket connect(const server& destination) {
         tcp::socket socket{this->context};
-        socket.connect({asio::ip::make_address("127.0.0.1"), this->listener.port()});
+        socket.connect({asio::ip::make_address("127.0.0.1"), destination.port()});
         socket.set_option(tcp::no_delay{true});
         return socket;
     }
@@ -161,6 +186,24 @@
     }
 }
 
+// Guards against a callback that uses the state of a handler which an exception has ended.
+TEST_CASE_FIXTURE(leaving_caller_fixture, "server_caller_leaves_failing_handler_is_not_called_back_after_its_end") {
+    failing_handler failing{};
+    server destination{this->context, failing, server_options{}};
+    REQUIRE(destination.start().has_value());
+    auto socket = this->connect(destination);
+    this->send(socket, work_request);
+    failing.begun.get_future().wait();
+    socket.close();
+    failing.caller_left.set_value();
+    const auto end = std::chrono::steady_clock::now() + notice_limit;
+    while(destination.active_requests() > 0u && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    CHECK(destination.active_requests() == 0u);
+    CHECK(failing.late_calls.load() == 0u);
+}
+
 // Guards against an early request that is lost or answered too soon, and against a check for the end of the connection
 // that keeps a processor busy as long as bytes are unread.
 TEST_CASE_FIXTURE(leaving_caller_fixture, "server_caller_stays_after_early_bytes_is_answered_without_spinning") {
