http: giving an exchange up reaches a peer that has not read the whole body

Cause: the client closed a connection in an orderly way while a long body was still being written. The end waits behind what the peer has not read. Fix: as long as the body is not wholly written, giving the exchange up resets the connection. A reset is not repeated when it is lost, so that all other exchanges still end in an orderly way. An upstream that looks for an end only by reading does not notice either behind bytes that it leaves unread.

--- a/src/lagoonsaddle/core/tcp_options.hpp
+++ b/src/lagoonsaddle/core/tcp_options.hpp
@@ -19,6 +19,18 @@
     socket.set_option(option{static_cast<int>(timeout.count())}, ignored);
 }
 
+/**
+ * @brief Makes closing a socket reset its connection (`SO_LINGER` of zero).
+ *
+ * The peer learns of a reset at once. An orderly end waits behind all bytes that the peer has not read.
+ *
+ * @param socket An open socket.
+ */
+inline void set_reset_on_close(boost::asio::ip::tcp::socket& socket) {
+    boost::system::error_code ignored{};
+    socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+}
+
 } // namespace lagoonsaddle::core
 
 #endif
--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -80,6 +80,9 @@
         this->detach();
         if(this->reusable()) {
             this->connections->give(this->target, std::move(*this->socket), keep_alive_timeout(this->head));
+        } else if(this->answered()) {
+            boost::system::error_code ignored{};
+            this->socket->close(ignored);
         } else {
             this->close();
         }
@@ -195,6 +198,10 @@
 
     void close() noexcept override {
         this->failed = true;
+        if(this->writing && !this->writing->done) {
+            // An orderly end would wait behind the rest of the body, which the peer may never read.
+            core::set_reset_on_close(*this->socket);
+        }
         boost::system::error_code ignored{};
         this->socket->close(ignored);
     }
@@ -352,12 +359,16 @@
                failure == asio::error::message_size;
     }
 
+    /*! @brief Returns whether the whole response has been received. */
+    [[nodiscard]] bool answered() const {
+        return !this->failed && this->parser.has_value() && this->parser->is_done();
+    }
+
     [[nodiscard]] bool reusable() const {
         const bool refused = this->parser.has_value() && this->status() >= 400u;
-        return !this->failed && !this->single_use && !(this->closes_after_refusal && refused) &&
-               !this->guard.expired() && this->socket->is_open() && this->parser.has_value() &&
-               this->parser->is_done() && this->parser->keep_alive() && this->buffer.size() == 0u &&
-               (!this->writing || (this->writing->done && !this->writing->failed));
+        return this->answered() && !this->single_use && !(this->closes_after_refusal && refused) &&
+               !this->guard.expired() && this->socket->is_open() && this->parser->keep_alive() &&
+               this->buffer.size() == 0u && (!this->writing || (this->writing->done && !this->writing->failed));
     }
 
     std::shared_ptr<connection_pool> connections;
--- a/test/http/loopback_test.cpp
+++ b/test/http/loopback_test.cpp
@@ -2,6 +2,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <poll.h>
 #include <string>
 #include <thread>
 #include <utility>
@@ -12,6 +13,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -34,6 +36,12 @@
 namespace asio = boost::asio;
 
 constexpr std::chrono::milliseconds exchange_timeout{20'000};
+/*! @brief Time for the end of a connection to arrive. */
+constexpr std::chrono::milliseconds end_timeout{2'000};
+/*! @brief Sizes of bodies that fit and that do not fit into the buffers between a client and a peer that reads nothing.
+ */
+constexpr std::size_t small_unread_body{16u * 1024u};
+constexpr std::size_t large_unread_body{32u * 1024u * 1024u};
 
 class echo_handler final : public handler {
 public:
@@ -116,6 +124,26 @@
         return answer;
     }
 
+    /*! @brief Sends a body to a peer that reads none of it, and cancels the exchange. Returns whether the peer can see
+     * the end of the connection. */
+    bool cancel_reaches_peer(std::size_t body_size) {
+        asio::ip::tcp::acceptor acceptor{this->context, {asio::ip::make_address("127.0.0.1"), 0u}};
+        const auto strand = asio::make_strand(this->context);
+        exchange_options options{};
+        options.control = std::make_shared<exchange_control>();
+        const core::endpoint target_of_peer{.address = "127.0.0.1", .port = acceptor.local_endpoint().port()};
+        auto opened = asio::co_spawn(strand,
+            this->requester.open(target_of_peer,
+                request{.method = "POST", .target = "/", .headers = {}, .body = std::string(body_size, 'x')}, options),
+            asio::use_future);
+        auto peer = acceptor.accept();
+        peer.wait(asio::ip::tcp::socket::wait_read);
+        asio::post(strand, [control = options.control] { control->cancel(); });
+        CHECK_FALSE(opened.get().has_value());
+        pollfd state{.fd = peer.native_handle(), .events = POLLRDHUP, .revents = 0};
+        return poll(&state, 1u, static_cast<int>(end_timeout.count())) == 1;
+    }
+
     std::string raw_exchange(std::string_view text) {
         boost::system::error_code ignored{};
         return this->raw_exchange(text, ignored);
@@ -374,6 +402,12 @@
     CHECK(this->call("/echo", "next")->body == "next");
 }
 
+// Guards against work that goes on at a peer that has not read the whole body when its caller gives the exchange up.
+TEST_CASE_FIXTURE(loopback_fixture, "client_cancelled_exchange_reaches_peer_behind_unread_body") {
+    CHECK(this->cancel_reaches_peer(small_unread_body));
+    CHECK(this->cancel_reaches_peer(large_unread_body));
+}
+
 // Guards against an answer to an earlier request that is taken for the answer to the next one.
 TEST_CASE_FIXTURE(loopback_fixture, "client_foreign_head_is_skipped") {
     asio::ip::tcp::acceptor acceptor{this->context, {asio::ip::make_address("127.0.0.1"), 0u}};
