relay: a peer that resets its connection ends that to the upstream at once

Cause: a relay reads from its peer only what the upstream has taken. While the upstream takes none of a body, nothing reads from the peer, so that the relay does not notice that the peer has given the exchange up; it keeps the connection to the upstream for the lifetime of the exchange. Fix: the relay waits for a reset of the peer's connection from the start, and passes a reset on as a reset.

--- a/src/lagoonsaddle/relay/relay_server.cpp
+++ b/src/lagoonsaddle/relay/relay_server.cpp
@@ -92,7 +92,7 @@
         boost::system::error_code ignored{};
         this->peer.set_option(tcp::no_delay{true}, ignored);
         // Closing resets the connection, also when the process is killed; the proper end is a shutdown before it.
-        this->peer.set_option(asio::socket_base::linger{true, 0}, ignored);
+        core::set_reset_on_close(this->peer);
         core::set_unacknowledged_timeout(this->peer, this->owner->settings.unacknowledged_timeout);
     }
 
@@ -123,6 +123,7 @@
         }
         this->close_after(
             std::min(std::chrono::milliseconds{request->lifetime_ms}, this->owner->settings.lifetime_max));
+        this->watch_peer();
         asio::co_spawn(
             this->owner->context, [self = this->shared_from_this()] { return self->pass_requests(); },
             core::task_end{"relayed_requests"});
@@ -158,13 +159,28 @@
         co_return core::result<void>{};
     }
 
+    /*! @brief Ends both connections when the peer resets its own, also while the upstream takes none of the body: then
+     * nothing reads from the peer. */
+    void watch_peer() {
+        this->peer.async_wait(
+            tcp::socket::wait_error, [weak = this->weak_from_this()](const boost::system::error_code& failure) {
+                if(const auto self = weak.lock(); self && !failure) {
+                    self->reset();
+                }
+            });
+    }
+
     /*! @brief Passes on what the peer sends, until the peer closes its connection. */
     [[nodiscard]] asio::awaitable<void> pass_requests() {
         std::array<char, buffer_size> buffer{};
         bool writable{true};
         while(true) {
             const auto count = co_await read_some(this->peer, buffer);
-            if(!count || *count == 0u) {
+            if(!count) {
+                this->reset();
+                co_return;
+            }
+            if(*count == 0u) {
                 this->close();
                 co_return;
             }
@@ -229,6 +245,12 @@
         this->upstream.close(ignored);
     }
 
+    /*! @brief Resets both connections: the peer has given the exchange up. */
+    void reset() {
+        core::set_reset_on_close(this->upstream);
+        this->close();
+    }
+
     void close() {
         this->timer.cancel();
         this->close_upstream();
--- a/src/lagoonsaddle/relay/relay_server.hpp
+++ b/src/lagoonsaddle/relay/relay_server.hpp
@@ -69,10 +69,10 @@
  * @brief Joins connections of peers to connections to upstreams, one exchange each, and passes their bytes on unread.
  *
  * Reads from one side only what the other side has taken, so that a slow reader slows the writer. A peer that closes
- * its connection ends that to the upstream. When the upstream ends its connection, or resets it before it has answered,
- * the relay ends the peer's: the peer may take that for a crash of the upstream. When the upstream resets its
- * connection later, or this process ends, the peer's is reset, so that a cut answer cannot be taken for a complete one.
- * Must only be used from the thread that runs the `io_context`.
+ * its connection ends that to the upstream, and one that resets it resets that. When the upstream ends its connection,
+ * or resets it before it has answered, the relay ends the peer's: the peer may take that for a crash of the upstream.
+ * When the upstream resets its connection later, or this process ends, the peer's is reset, so that a cut answer cannot
+ * be taken for a complete one. Must only be used from the thread that runs the `io_context`.
  */
 class relay_server {
 public:
--- a/test/relay/relay_test.cpp
+++ b/test/relay/relay_test.cpp
@@ -2,6 +2,7 @@
 #include <future>
 #include <memory>
 #include <optional>
+#include <poll.h>
 #include <string>
 #include <thread>
 #include <utility>
@@ -29,6 +30,10 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::chrono::milliseconds exchange_timeout{20'000};
+/*! @brief Time for the end of a connection to arrive. */
+constexpr std::chrono::milliseconds end_timeout{2'000};
+/*! @brief Size of a body that does not fit into the buffers between a node and an upstream that does not read. */
+constexpr std::size_t unread_body{32u * 1024u * 1024u};
 constexpr const char* loopback{"127.0.0.1"};
 
 class echo_handler final : public http::handler {
@@ -234,6 +239,21 @@
     CHECK(this->handler.disconnected.get_future().wait_for(exchange_timeout) == std::future_status::ready);
 }
 
+// Guards against work that goes on at an upstream that has not read the whole body when the caller leaves.
+TEST_CASE_FIXTURE(relay_fixture, "relay_caller_leaves_resets_connection_behind_unread_body") {
+    tcp::acceptor acceptor{this->raw_context, {asio::ip::make_address(loopback), 0u}};
+    this->policy.target.port = acceptor.local_endpoint().port();
+    auto opened = std::async(std::launch::async, [this] { return this->open("/", std::string(unread_body, 'x')); });
+    auto socket = acceptor.accept();
+    socket.wait(tcp::socket::wait_read);
+    // Until the relay can pass on no more of the body.
+    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+    asio::post(this->context, [this] { this->control->cancel(); });
+    CHECK_FALSE(opened.get().has_value());
+    pollfd state{.fd = socket.native_handle(), .events = 0, .revents = 0};
+    CHECK(poll(&state, 1u, static_cast<int>(end_timeout.count())) == 1);
+}
+
 // Guards against an answer that only its connection ends and that is cut on the way, but looks complete.
 TEST_CASE_FIXTURE(relay_fixture, "relay_close_delimited_answer_is_complete_unless_reset") {
     CHECK(this->exchange_close_delimited(false) == "whole");
