http: a request whose caller has left before it was read is not handled

Cause: the end of a connection was looked for by a wait that begins with the handler, which may send the request to an upstream before that wait can complete. A node that is late to read a request had an upstream run it for nobody (GONE). Fix: the state of the peer is looked at once before the handler begins. A check that is pending ends with its connection.

--- a/src/lagoonsaddle/http/server.cpp
+++ b/src/lagoonsaddle/http/server.cpp
@@ -65,6 +65,7 @@
 
     void close() noexcept {
         this->open = false;
+        this->peer_check.cancel();
         boost::system::error_code ignored{};
         if(this->close_delimited && this->body_unfinished) {
             // An orderly end would complete the body: the connection is reset instead.
@@ -280,6 +281,9 @@
             co_await this->reject(message, *failure);
             co_return false;
         }
+        if(inspect_peer(this->stream.socket()) == peer_state::closed) {
+            co_return false;
+        }
         this->has_started = false;
         this->body_unfinished = false;
         this->close_delimited = false;
--- a/test/http/leaving_caller_test.cpp
+++ b/test/http/leaving_caller_test.cpp
@@ -186,6 +186,18 @@
     }
 }
 
+// Guards against a request that an upstream runs although its caller has left before the request was read.
+TEST_CASE_FIXTURE(leaving_caller_fixture, "server_caller_left_before_request_is_read_is_not_handled") {
+    asio::io_context late{1};
+    server destination{late, this->target, server_options{}};
+    REQUIRE(destination.start().has_value());
+    auto socket = this->connect(destination);
+    this->send(socket, work_request);
+    socket.close();
+    late.run_for(notice_limit);
+    CHECK(this->target.begun.load() == 0u);
+}
+
 // Guards against an empty line after a body that is taken for a malformed request, and against line ends without end.
 TEST_CASE_FIXTURE(leaving_caller_fixture, "server_empty_lines_before_request_are_skipped_up_to_limit") {
     for(const auto& [empty_lines, status] : std::vector<std::pair<std::string, std::string>>{
