test: the test of line ends keeps what it has read beyond an answer

Cause: the test's read up to the body of the first answer may take the 400 that follows as well, and the test dropped it. Change: what lies beyond the first answer is kept; the 400 has to come without a further request. The assertion is as before.

--- a/test/http/leaving_caller_test.cpp
+++ b/test/http/leaving_caller_test.cpp
@@ -206,9 +206,11 @@
         auto socket = this->connect();
         this->send(socket, std::string{echo_request} + empty_lines);
         std::string received{};
-        asio::read_until(socket, asio::dynamic_buffer(received), "next");
-        received.clear();
-        this->send(socket, echo_request);
+        // The read may have taken the begin of the next response as well.
+        received.erase(0u, asio::read_until(socket, asio::dynamic_buffer(received), "next"));
+        if(status == "200") {
+            this->send(socket, echo_request);
+        }
         asio::read_until(socket, asio::dynamic_buffer(received), "\r\n");
         CHECK(received.starts_with("HTTP/1.1 " + status));
     }
