platform: names stand percent-encoded in targets

Callers saw: an entry of another writer stood in the list of engines, under a name with a blank, &, +, # or %. Cause: a list of several pages goes on after the last name of a page, and that name went into the query as it is. A blank or a line break made the request malformed, the other characters made the store go on at another name, at times at the same page without end. Paths of leases and of streams were built the same way, and identifiers of requests in the engine client. Change: one function encodes, for the store client, the object API, the engine client and the command line; two copies of it go. It encodes bytes, so that it holds for names that are no UTF-8. The soak writes odd names of all kinds at its start. Why it works: each name is one text of the query or one segment of the path, whatever it holds, and the store reads back the name that it has sent.

--- a/src/lagoonsaddle/http/json.cpp
+++ b/src/lagoonsaddle/http/json.cpp
@@ -1,31 +1,13 @@
-#include <charconv>
 #include <chrono>
 #include <utility>
 
 #include <lagoonsaddle/http/json.hpp>
+#include <lagoonsaddle/http/percent_encoding.hpp>
 
 namespace lagoonsaddle::http {
 
 namespace {
 
-[[nodiscard]] std::string percent_decode(std::string_view text) {
-    std::string decoded{};
-    decoded.reserve(text.size());
-    for(std::size_t index{}; index < text.size(); ++index) {
-        unsigned value{};
-        if(text[index] == '%' && index + 2u < text.size()) {
-            const auto* first = text.data() + index + 1u;
-            if(const auto parsed = std::from_chars(first, first + 2, value, 16); parsed.ptr == first + 2) {
-                decoded.push_back(static_cast<char>(value));
-                index += 2u;
-                continue;
-            }
-        }
-        decoded.push_back(text[index]);
-    }
-    return decoded;
-}
-
 [[nodiscard]] unsigned status_of(core::reason cause) noexcept {
     switch(cause) {
     case core::reason::invalid_argument:
--- a/src/lagoonsaddle/operate/command_line.cpp
+++ b/src/lagoonsaddle/operate/command_line.cpp
@@ -19,6 +19,7 @@
 #include <lagoonsaddle/core/endpoint.hpp>
 #include <lagoonsaddle/http/client.hpp>
 #include <lagoonsaddle/http/json.hpp>
+#include <lagoonsaddle/http/percent_encoding.hpp>
 #include <lagoonsaddle/operate/command_line.hpp>
 #include <lagoonsaddle/operate/explain_logs.hpp>
 #include <lagoonsaddle/operate/token_authenticator.hpp>
@@ -104,20 +105,6 @@
     return target;
 }
 
-[[nodiscard]] std::string percent_encode(std::string_view text) {
-    constexpr std::string_view digits{"0123456789ABCDEF"};
-    std::string encoded{};
-    for(const char c : text) {
-        const auto byte = static_cast<unsigned char>(c);
-        if(std::isalnum(byte) != 0 || c == '-' || c == '.' || c == '_' || c == '~') {
-            encoded.push_back(c);
-        } else {
-            encoded.append({'%', digits[byte >> 4u], digits[byte & 15u]});
-        }
-    }
-    return encoded;
-}
-
 [[nodiscard]] json read_json_file(const std::string& path) {
     std::ostringstream text{};
     if(path == "-") {
@@ -242,7 +229,7 @@
         }
         if(this->has_argument("explain")) {
             this->print_response(
-                this->get("/explain/" + percent_encode(this->text_argument("<request_id>"))), "records");
+                this->get("/explain/" + http::percent_encode(this->text_argument("<request_id>"))), "records");
         } else if(this->has_argument("events")) {
             this->print_response(
                 this->get("/events?after=" + std::to_string(parse_number_argument(this->arguments, "--after")) +
--- a/src/lagoonsaddle/platform/http_object_store.cpp
+++ b/src/lagoonsaddle/platform/http_object_store.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <lagoonsaddle/http/json.hpp>
+#include <lagoonsaddle/http/percent_encoding.hpp>
 #include <lagoonsaddle/platform/http_object_store.hpp>
 
 namespace lagoonsaddle::platform {
@@ -12,24 +13,6 @@
 
 constexpr std::size_t body_limit_bytes{1'000'000u};
 
-[[nodiscard]] std::string percent_encode(std::string_view text) {
-    constexpr std::string_view unreserved{"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/"};
-    constexpr std::string_view digits{"0123456789ABCDEF"};
-    std::string encoded{};
-    encoded.reserve(text.size());
-    for(const char character : text) {
-        if(unreserved.find(character) != std::string_view::npos) {
-            encoded += character;
-        } else {
-            const auto value = static_cast<unsigned char>(character);
-            encoded += '%';
-            encoded += digits[value / 16u];
-            encoded += digits[value % 16u];
-        }
-    }
-    return encoded;
-}
-
 [[nodiscard]] std::string format_etag(object_version version) {
     return '"' + std::to_string(version) + '"';
 }
@@ -267,7 +250,7 @@
 boost::asio::awaitable<core::result<std::optional<object>>> http_object_store::get(
     std::string name, object_version known) {
     http::request request{};
-    request.target = "/objects/" + percent_encode(name);
+    request.target = "/objects/" + http::percent_encode_path(name);
     if(known != 0u) {
         request.headers.set("if-none-match", format_etag(known));
     }
@@ -290,7 +273,7 @@
     }
     http::request request{};
     request.method = "PUT";
-    request.target = "/objects/" + percent_encode(name);
+    request.target = "/objects/" + http::percent_encode_path(name);
     if(expected == 0u) {
         request.headers.set("if-none-match", "*");
     } else {
@@ -312,7 +295,7 @@
 boost::asio::awaitable<core::result<std::optional<object>>> http_object_store::watch(
     std::string name, object_version known, std::chrono::milliseconds timeout) {
     http::request request{};
-    request.target = "/watch/" + percent_encode(name) + "?known=" + std::to_string(known) +
+    request.target = "/watch/" + http::percent_encode_path(name) + "?known=" + std::to_string(known) +
                      "&timeout_ms=" + std::to_string(timeout.count());
     auto response =
         co_await this->send_request(std::move(request), &call_counts::watches, timeout + this->settings.watch_margin);
@@ -329,7 +312,7 @@
 
 boost::asio::awaitable<core::result<std::vector<object>>> http_object_store::list(std::string prefix) {
     http::request request{};
-    request.target = "/objects?prefix=" + percent_encode(prefix);
+    request.target = "/objects?prefix=" + http::percent_encode_path(prefix);
     auto response = co_await this->send_request(std::move(request), &call_counts::lists, this->settings.call_timeout);
     if(!response) {
         co_return tl::make_unexpected(as_not_run(std::move(response.error())));
--- a/src/lagoonsaddle/upstream/engine_client.cpp
+++ b/src/lagoonsaddle/upstream/engine_client.cpp
@@ -1,4 +1,5 @@
 #include <lagoonsaddle/http/json.hpp>
+#include <lagoonsaddle/http/percent_encoding.hpp>
 #include <lagoonsaddle/upstream/engine_client.hpp>
 #include <lagoonsaddle/upstream/internal_error.hpp>
 #include <lagoonsaddle/upstream/sse_parser.hpp>
@@ -159,7 +160,8 @@
 
 asio::awaitable<core::result<std::unique_ptr<engine_stream>>> engine_client::resume(
     std::string request_id, std::size_t offset, std::chrono::milliseconds timeout) {
-    http::request request{.target = "/v1/requests/" + request_id + "?offset=" + std::to_string(offset)};
+    http::request request{
+        .target = "/v1/requests/" + http::percent_encode(request_id) + "?offset=" + std::to_string(offset)};
     auto response = co_await this->client.open(this->endpoint, std::move(request), timeout);
     if(!response) {
         co_return tl::make_unexpected(std::move(response.error()));
@@ -172,7 +174,7 @@
 }
 
 asio::awaitable<void> engine_client::cancel(std::string request_id) {
-    http::request request{.method = "DELETE", .target = "/v1/requests/" + request_id};
+    http::request request{.method = "DELETE", .target = "/v1/requests/" + http::percent_encode(request_id)};
     auto options = call_options(cancel_timeout, short_body_limit_bytes);
     static_cast<void>(co_await this->client.send(this->endpoint, std::move(request), std::move(options)));
 }
--- a/test/platform_node/standin.py
+++ b/test/platform_node/standin.py
@@ -58,12 +58,16 @@
 
 
 class Store(Server):
-    """Object store: objects by kind and name, with revisions, lists and watches.
+    """Object store: objects by kind and name, with revisions, lists in pages and watches.
 
-    It can be restored from a copy. It then has lost what was written since, issues the same revisions again and states
+    Its lists are in order of name. A name in a path is one segment, percent-encoded; the query is decoded as that of a
+    form. It can be restored from a copy. It then has lost what was written since, issues the same revisions again and states
     a higher era.
     """
 
+    # Objects on a page of a list: few, so that the lists of all tests have several pages.
+    page_size = 3
+
     def __init__(self):
         self.era = 1
         self.revision = 1
@@ -114,13 +118,14 @@
             return self.reply(handler, 503)
         url = urllib.parse.urlsplit(handler.path)
         query = urllib.parse.parse_qs(url.query)
-        kind, _, name = url.path.removeprefix("/-/objects/").partition("/")
+        kind, _, segment = url.path.removeprefix("/-/objects/").partition("/")
+        if "/" in segment:
+            return self.reply(handler, 404)
+        name = urllib.parse.unquote(segment)
         if "watch" in query:
             return self.watch(handler, kind, int(query["watch"][0]), int(query["waitMs"][0]) / 1000)
         if not name:
-            with self.lock:
-                items = [value for (item_kind, _), value in self.objects.items() if item_kind == kind]
-                return self.reply(handler, 200, {"items": items, "more": False, "storeRevision": self.revision})
+            return self.list_page(handler, kind, query.get("after", [""])[0])
         with self.lock:
             current = self.objects.get((kind, name))
             if handler.command == "GET":
@@ -131,6 +136,14 @@
                 return self.reply(handler, 409, current)
             return self.reply(handler, 200, self.put(kind, name, proposed["spec"]))
 
+    def list_page(self, handler, kind, after):
+        """Responds with the first objects of a kind whose names come after the given one."""
+        with self.lock:
+            names = sorted(name for item_kind, name in self.objects if item_kind == kind and (not after or name > after))
+            items = [self.objects[kind, name] for name in names[:self.page_size]]
+            return self.reply(handler, 200, {"items": items, "more": len(names) > len(items),
+                                             "storeRevision": self.revision})
+
     def watch(self, handler, kind, revision, wait_s):
         """Responds with the changes of a kind after a revision, waiting up to `wait_s` for the first.
 
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -12,11 +12,13 @@
 import upstreams
 from addresses import free_ports, node_address
 from engine_link import LinkLoop, StoreView
+from odd_names import write_odd_names
 
 TIMEOUT_MS = 5_000
 STOP_LIMIT_S = 8.0
 LEASE_S = 3
 START_LIMIT_S = 30.0
+STORE_PAGE_SIZE = 10
 # Signals sent earlier after the start may arrive while the program is being linked, before it can hold them.
 STARTUP_GRACE_S = 0.1
 RETRY_SLACK = 50
@@ -175,6 +177,8 @@
     def start(self):
         """Starts all parts and waits until all nodes are ready."""
         self.store = upstreams.standin.Store()
+        self.store.page_size = STORE_PAGE_SIZE
+        write_odd_names(self.store)
         self.engines = [upstreams.Engine(self, number) for number in range(self.engine_count)]
         self.services = [upstreams.Service(self, number) for number in range(3)]
         self.write_next_configuration()
