http: a request whose head its texts would end is not sent

Callers saw: nothing yet. Whoever may write an entry in the store could add header fields to calls of the store, by the zone of an entry, and to requests and orders to an engine, by its name. Cause: the client wrote target and fields into the head as they were, line breaks included. Change: has_valid_head refuses targets with blanks or control characters, and fields with line breaks or NUL; the client answers invalid_argument, not run, before it connects. What the server accepts from callers is allowed, as its parser refuses the same characters. Evidence: client_target_with_line_break_is_not_sent fails on the commit before (the forged field arrives). Why it works: all requests of this process pass client::open.

--- a/src/lagoonsaddle/http/client.cpp
+++ b/src/lagoonsaddle/http/client.cpp
@@ -11,6 +11,7 @@
 #include <lagoonsaddle/http/internal_beast.hpp>
 #include <lagoonsaddle/http/internal_body_reader.hpp>
 #include <lagoonsaddle/http/internal_connection_pool.hpp>
+#include <lagoonsaddle/http/request_framing.hpp>
 #include <lagoonsaddle/http/response_framing.hpp>
 
 namespace lagoonsaddle::http {
@@ -438,6 +439,9 @@
 
 asio::awaitable<core::result<std::unique_ptr<response_stream>>> client::open(
     core::endpoint target, request message, exchange_options options) {
+    if(!has_valid_head(message)) {
+        co_return core::fail(core::reason::invalid_argument, "the target or a field of the request ends its line");
+    }
     const auto executor = co_await asio::this_coro::executor;
     const bool safe = options.resend_safe && (message.method == "GET" || message.method == head_method);
     for(auto reuse_within = options.reuse_within;; reuse_within = {}) {
--- a/src/lagoonsaddle/http/client.hpp
+++ b/src/lagoonsaddle/http/client.hpp
@@ -116,6 +116,7 @@
  * @brief HTTP/1.1 client with a pool of idle connections per endpoint. Thread-safe.
  *
  * Errors carry a verdict: `not_run` when the connection was never made, `may_have_run` when any byte may have left.
+ * A request whose target or fields would end their line in the head fails with `invalid_argument` and is not sent.
  * A response with a status outside of 100 to 599 is none: the exchange fails with `protocol_error`. Interim ones are
  * skipped.
  */
--- a/src/lagoonsaddle/http/request_framing.cpp
+++ b/src/lagoonsaddle/http/request_framing.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include <lagoonsaddle/core/text.hpp>
-#include <lagoonsaddle/http/message.hpp>
 #include <lagoonsaddle/http/request_framing.hpp>
 
 namespace lagoonsaddle::http {
@@ -38,6 +37,24 @@
     return std::nullopt;
 }
 
+/*! @brief Returns whether a character stands for itself in a request line: it is neither a blank nor a control
+ * character. */
+[[nodiscard]] bool is_graphic(char character) noexcept {
+    constexpr unsigned char delete_character{0x7fu};
+    const auto byte = static_cast<unsigned char>(character);
+    return byte > static_cast<unsigned char>(' ') && byte != delete_character;
+}
+
+[[nodiscard]] bool is_valid_field(const fields::value_type& field) noexcept {
+    const auto& [name, value] = field;
+    const bool valid_name = !name.empty() && std::ranges::all_of(name, [](char character) {
+        return is_graphic(character) && character != ':';
+    });
+    return valid_name && std::ranges::none_of(value, [](char character) {
+        return character == '\r' || character == '\n' || character == '\0';
+    });
+}
+
 } // namespace
 
 std::optional<framing_rejection> check_framing(const fields& headers, unsigned version) {
@@ -74,4 +91,9 @@
     return request_target{.path = std::move(path), .host = std::string{rest.substr(0u, end)}};
 }
 
+bool has_valid_head(const request& message) noexcept {
+    return !message.target.empty() && std::ranges::all_of(message.target, is_graphic) &&
+           std::ranges::all_of(message.headers, is_valid_field);
+}
+
 } // namespace lagoonsaddle::http
--- a/src/lagoonsaddle/http/request_framing.hpp
+++ b/src/lagoonsaddle/http/request_framing.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include <lagoonsaddle/http/fields.hpp>
+#include <lagoonsaddle/http/message.hpp>
 
 namespace lagoonsaddle::http {
 
@@ -41,6 +42,16 @@
  */
 [[nodiscard]] request_target parse_target(std::string_view target);
 
+/**
+ * @brief Returns whether the target and the fields of a request stand in one head as they are.
+ *
+ * A blank or a line break in a target, or a line break in a field, would end it early: what follows would be read as a
+ * field or as another request.
+ *
+ * @param message A request that is to be sent.
+ */
+[[nodiscard]] bool has_valid_head(const request& message) noexcept;
+
 } // namespace lagoonsaddle::http
 
 #endif
--- a/test/http/loopback_test.cpp
+++ b/test/http/loopback_test.cpp
@@ -408,6 +408,15 @@
     CHECK(this->cancel_reaches_peer(large_unread_body));
 }
 
+// Guards against a target that carries a field into the head of a request.
+TEST_CASE_FIXTURE(loopback_fixture, "client_target_with_line_break_is_not_sent") {
+    const auto answer = this->call("/field HTTP/1.1\r\nx-id: forged\r\nx: ");
+    REQUIRE_FALSE(answer.has_value());
+    CHECK(answer.error().cause == core::reason::invalid_argument);
+    CHECK(answer.error().verdict == core::verdict::not_run);
+    CHECK(this->requester.connections_made() == 0u);
+}
+
 // Guards against an answer to an earlier request that is taken for the answer to the next one.
 TEST_CASE_FIXTURE(loopback_fixture, "client_foreign_head_is_skipped") {
     asio::ip::tcp::acceptor acceptor{this->context, {asio::ip::make_address("127.0.0.1"), 0u}};
--- a/test/http/request_framing_test.cpp
+++ b/test/http/request_framing_test.cpp
@@ -79,4 +79,27 @@
     CHECK(parse_target("/a").host.empty());
 }
 
+// Guards against names of others that add fields or whole requests to those of this process.
+TEST_CASE("has_valid_head_text_that_ends_its_line_is_rejected") {
+    using namespace std::string_literals;
+    const auto with_field = [](std::string_view name, std::string_view value) {
+        request message{};
+        message.headers.set(name, value);
+        return has_valid_head(message);
+    };
+    for(const auto& target : {""s, "/a b"s, "/a\r\nx: 1"s, "/a\nb"s, "/a\tb"s, "/a\0b"s, "/a\x7f"s}) {
+        CAPTURE(target);
+        CHECK_FALSE(has_valid_head(request{.target = target}));
+    }
+    for(const auto& value : {"a\r\nx: 1"s, "a\nb"s, "a\rb"s, "a\0b"s}) {
+        CAPTURE(value);
+        CHECK_FALSE(with_field("x-id", value));
+        CHECK_FALSE(with_field(value, "a"));
+    }
+    CHECK_FALSE(with_field("x: y", "a"));
+    CHECK(has_valid_head(request{.target = "/a%20b?c=\xc3\xa4&d=[1]"}));
+    CHECK(with_field("x-id", "a b\t\xc3\xa4"));
+    CHECK(with_field("x-id", ""));
+}
+
 } // namespace lagoonsaddle::http
