platform: an entry under an odd name is no upstream

Callers saw: while sound engines were there, little; an entry of another writer whose fields read like those of an engine was tried as one, got orders and requests, and its name went into their header fields. Cause: any name of an entry was taken for the id of an upstream. The users say that such an entry names no engine to use. Weighed: to refuse only what cannot stand in a field; but the name is all that tells such an entry from one of an engine.

--- a/test/host_platform/record_codec_test.cpp
+++ b/test/host_platform/record_codec_test.cpp
@@ -58,6 +58,24 @@
     CHECK(change.revision == 9u);
 }
 
+// Guards against requests and orders to an upstream that does not exist, and against header fields that its name adds.
+TEST_CASE("decode_object_upstreams_odd_name_is_no_upstream") {
+    nlohmann::json object = nlohmann::json::parse(
+        R"({"metadata":{"revision":9},"spec":{"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready"}})");
+    const auto is_upstream = [&object](std::string_view name) {
+        object["metadata"]["name"] = name;
+        return std::holds_alternative<edge::upstream_entry>(decode_object(edge::record_kind::upstreams, object).value);
+    };
+    for(const auto* name : {"", "a b", "a&b", "a+b", "a#b", "a%41", "a/b", "a\r\nx: 1", "\xc3\xa4"}) {
+        CAPTURE(name);
+        CHECK_FALSE(is_upstream(name));
+    }
+    for(const auto* name : {"i-3f18e4d109", "Gpu_7.zone-1", "host:80", "model@2"}) {
+        CAPTURE(name);
+        CHECK(is_upstream(name));
+    }
+}
+
 // Guards against taking upstreams for equal, or skipping an entry, because a version is no string.
 TEST_CASE("decode_object_upstreams_returns_any_software_version_as_text") {
     const std::string long_version(100u, 'v');
--- a/test/platform_node/odd_name_test.py
+++ b/test/platform_node/odd_name_test.py
@@ -8,23 +8,45 @@
 from entry_node_case import EntryNodeCase
 from odd_names import write_odd_names
 
+FORGED_FIELD = "X-Forged"
 # Names of which each has a whole page to itself, so that the list goes on after it.
 LISTED_ALONE = ("a b", "a&b", "a+b", "a#b", "a%41b", "\u00e4\u00f6\u65e5\u672c", "a\nb")
 LIST_PAUSE_S = 1.0
 
 
+class RecordingHandler(standin.Handler):
+    """Keeps the names of the header fields of all requests."""
+
+    def handle_request(self):
+        self.server.field_names.update(self.headers)
+        super().handle_request()
+
+    do_GET = do_POST = do_PUT = do_DELETE = handle_request
+
+
 class RecordingStore(standin.Store):
-    """A store that keeps the time of the last call for a page of a list."""
+    """A store that keeps the names of header fields, and the time of the last call for a page of a list."""
 
     def __init__(self):
+        self.field_names = set()
         self.listed_at = 0.0
         super().__init__()
+        self.RequestHandlerClass = RecordingHandler
 
     def list_page(self, handler, kind, after):
         self.listed_at = time.monotonic()
         super().list_page(handler, kind, after)
 
 
+class RecordingEngine(standin.Engine):
+    """An engine that keeps the names of header fields."""
+
+    def __init__(self, *arguments):
+        self.field_names = set()
+        super().__init__(*arguments)
+        self.RequestHandlerClass = RecordingHandler
+
+
 class OddNameCase(EntryNodeCase):
     """Nodes that are killed and started again while odd names stand in the store."""
 
@@ -64,6 +86,7 @@
     """An odd name must cost its own entry only."""
 
     STORE_TYPE = RecordingStore
+    ENGINE_TYPE = RecordingEngine
 
     def check_restart(self):
         """Starts the nodes again and checks that each serves and knows all engines."""
@@ -92,6 +115,16 @@
                 self.check_restart()
                 self.eventually(lambda: time.monotonic() - self.store.listed_at > LIST_PAUSE_S, "no list is read on")
 
+    def test_names_add_no_header_fields(self):
+        """Guards against fields that an entry adds to calls of the store, to requests and to orders by its name or zone."""
+        for name, zone in ((f"a\r\n{FORGED_FIELD}: 1", "z"), ("i-2", f"z HTTP/1.1\r\n{FORGED_FIELD}: 1\r\nx:")):
+            self.engines.append(self.ENGINE_TYPE(self.store, name, zone))
+        self.start_fleet(2)
+        for number in range(8):
+            self.wait_until_served(f"b{number}")
+        for server in (self.store, *self.engines):
+            self.assertNotIn(FORGED_FIELD, server.field_names)
+
 
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
