edge: a list that cannot be read to its end is used as far as it goes

A page without a readable name ended the list, which then counted as complete: engines behind it were unknown for good; by reading, known ones were removed, and a configuration could pass for removed. A position that the store refused made the whole list fail again and again, and nothing was served. Cause: the next position was the last readable name, whatever followed from it, and nothing noticed one that does not advance. Of a truncated list, upstreams are merged instead of replaced, leases that it lacks are not taken for absent, a missing configuration is not taken for removed, the entries do not count as showing all upstreams, the revision stays at the last one, and the list is read again after 10 to 15 s (event=store_list_truncated). The test of decode_list for an unreadable last object asks the same of the list of pages now, as that chooses the position. Weighed: to fail the list (nothing is served for one entry), and to read on from invented positions (the order of names is the store's). The unit tests are of parts that did not exist before. Why it works: each page but the last brings a new name, so that lists end, and what was not read is never taken for absent.

--- a/src/lagoonsaddle/edge/entry_node.cpp
+++ b/src/lagoonsaddle/edge/entry_node.cpp
@@ -360,7 +360,7 @@
     const auto now = this->context.clock.now();
     const auto* watcher = this->find_watcher(record_kind::upstreams);
     const auto last_success = watcher == nullptr ? std::nullopt : watcher->last_success();
-    const bool answering = last_success && now - *last_success < store_silence_max;
+    const bool answering = last_success && now - *last_success < store_silence_max && watcher->has_complete_list();
     return answering && (!this->store_returned || now - *this->store_returned >= entry_expiry_time);
 }
 
--- a/src/lagoonsaddle/edge/entry_node_records.cpp
+++ b/src/lagoonsaddle/edge/entry_node_records.cpp
@@ -178,7 +178,7 @@
 
 void entry_node::impl::confirm_listed(const record_page& page, core::time_point begun) {
     auto listed = this->watched_version;
-    listed.begin_list();
+    listed.begin_list(page.is_complete());
     for(const auto& change : page.records) {
         listed.apply(change, this->routes.current().get());
     }
@@ -233,7 +233,10 @@
                 entries.push_back(*entry);
             }
         }
-        for(const auto& id : this->upstreams.replace(entries, this->context.clock.now())) {
+        const auto now = this->context.clock.now();
+        const auto changed =
+            page.is_complete() ? this->upstreams.replace(entries, now) : this->upstreams.merge(entries, now);
+        for(const auto& id : changed) {
             this->announce_ending(id, store_source);
         }
         this->limits.apply_announced();
@@ -245,10 +248,10 @@
         return;
     }
     if(kind == record_kind::configuration) {
-        this->watched_version.begin_list();
+        this->watched_version.begin_list(page.is_complete());
     }
     this->on_changes(kind, page);
-    if(kind == record_kind::leases) {
+    if(kind == record_kind::leases && page.is_complete()) {
         this->placement->on_leases_listed(page.epoch);
     }
 }
--- a/src/lagoonsaddle/edge/protocol.hpp
+++ b/src/lagoonsaddle/edge/protocol.hpp
@@ -76,6 +76,14 @@
     std::uint64_t revision{};
     /*! @brief Epoch of the store in which the revision was issued. */
     std::uint64_t epoch{};
+    /*! @brief Set when a list could not be read to its end: name of the record after which records may be missing,
+     * empty for the beginning. */
+    std::optional<std::string> truncated_after{};
+
+    /*! @brief Returns whether a record that is not on the page does not exist, or has not changed. */
+    [[nodiscard]] bool is_complete() const noexcept {
+        return !this->truncated_after.has_value();
+    }
 };
 
 /*! @brief A lease with the revision of its record. */
@@ -107,7 +115,8 @@
     record_store& operator=(const record_store&) = delete;
     virtual ~record_store() = default;
 
-    /*! @brief Reads all records of a kind. */
+    /*! @brief Reads all records of a kind, or those of the pages that can be read: see `record_page::truncated_after`.
+     */
     [[nodiscard]] virtual boost::asio::awaitable<core::result<record_page>> list(record_kind kind) = 0;
 
     /**
--- a/src/lagoonsaddle/edge/record_watcher.cpp
+++ b/src/lagoonsaddle/edge/record_watcher.cpp
@@ -35,6 +35,24 @@
       settings{std::move(options)},
       random{this->settings.seed} {}
 
+bool record_watcher::is_list_due() const {
+    return !this->last_revision || (this->list_again_at && this->clock.now() >= *this->list_again_at);
+}
+
+void record_watcher::check_end(const record_page& page) {
+    if(page.is_complete()) {
+        this->list_again_at.reset();
+        return;
+    }
+    const auto interval = this->settings.truncated_list_interval;
+    std::uniform_int_distribution<std::chrono::milliseconds::rep> drawn{0, interval.count() / 2};
+    this->list_again_at = this->clock.now() + interval + std::chrono::milliseconds{drawn(this->random)};
+    this->log.write(log_line{"store_list_truncated"}
+                        .add("kind", to_string(this->settings.kind))
+                        .add("records", static_cast<std::int64_t>(page.records.size()))
+                        .add("after", *page.truncated_after));
+}
+
 std::chrono::milliseconds record_watcher::next_watch_timeout(freshness required) {
     if(this->failing_since || this->connection_suspected) {
         return this->settings.probe_timeout;
@@ -50,7 +68,7 @@
 }
 
 asio::awaitable<record_watcher::fetched_page> record_watcher::fetch_records(call_kind& call) {
-    call = {.is_list = !this->last_revision.has_value(), .begun = this->clock.now()};
+    call = {.is_list = this->is_list_due(), .begun = this->clock.now()};
     if(call.is_list) {
         co_return co_await this->store.list(this->settings.kind);
     }
@@ -163,9 +181,12 @@
 }
 
 std::chrono::milliseconds record_watcher::pass_on(const record_page& page, bool is_list, bool is_first) {
-    this->last_revision = std::max(page.revision, this->last_revision.value_or(0u));
     this->received_records = is_list || !page.records.empty();
+    if(page.is_complete() || !this->last_revision) {
+        this->last_revision = std::max(page.revision, this->last_revision.value_or(0u));
+    }
     if(is_list) {
+        this->check_end(page);
         this->observer.on_list(this->settings.kind, page);
         return is_first ? this->settings.first_watch_delay : std::chrono::milliseconds{0};
     }
--- a/src/lagoonsaddle/edge/record_watcher.hpp
+++ b/src/lagoonsaddle/edge/record_watcher.hpp
@@ -37,6 +37,9 @@
     /*! @brief Delay between the first list and the first watch, in which the node learns of its fleet, and so how fresh
      * its reads have to be. */
     std::chrono::milliseconds first_watch_delay{0};
+    /*! @brief Shortest time until a list that could not be read to its end is read again; drawn up to half as long
+     * again. */
+    std::chrono::milliseconds truncated_list_interval{10'000};
     /*! @brief Called before each watch: how old its data may be. */
     std::function<freshness()> required_freshness{[] {
         return freshness::exact;
@@ -55,7 +58,8 @@
     record_observer& operator=(const record_observer&) = delete;
     virtual ~record_observer() = default;
 
-    /*! @brief Called with all records of a kind. */
+    /*! @brief Called with all records of a kind, or with those that could be read: see `record_page::truncated_after`.
+     */
     virtual void on_list(record_kind kind, const record_page& page) = 0;
 
     /*! @brief Called with changed records. */
@@ -82,7 +86,8 @@
  * @brief Keeps the records of one kind up to date.
  *
  * Lists the records once and then watches for changes. Lists again when the store no longer has the history, and when
- * it was restored from a copy: its revisions go back, so that a watch from the last revision would skip changes.
+ * it was restored from a copy: its revisions go back, so that a watch from the last revision would skip changes. A list
+ * that could not be read to its end is used as far as it goes and read again from time to time.
  */
 class record_watcher {
 public:
@@ -128,7 +133,16 @@
         return this->last_success_at;
     }
 
+    /*! @brief Returns whether the last list has shown all records. */
+    [[nodiscard]] bool has_complete_list() const noexcept {
+        return !this->list_again_at.has_value();
+    }
+
 private:
+    /*! @brief Returns whether the next call is a list. */
+    [[nodiscard]] bool is_list_due() const;
+    /*! @brief Remembers whether a list has to be read again. */
+    void check_end(const record_page& page);
     /*! @brief Returns the maximum duration of the next watch. */
     [[nodiscard]] std::chrono::milliseconds next_watch_timeout(freshness required);
 
@@ -164,6 +178,8 @@
     record_watcher_options settings;
     std::minstd_rand random;
     std::optional<std::uint64_t> last_revision{};
+    /*! @brief When the list is read again that could not be read to its end; nothing when the last one could. */
+    std::optional<core::time_point> list_again_at{};
     /*! @brief Epoch of the store in the last page; nothing before the first one. */
     std::optional<std::uint64_t> last_epoch{};
     std::optional<core::time_point> last_success_at{};
--- a/src/lagoonsaddle/edge/stored_version.cpp
+++ b/src/lagoonsaddle/edge/stored_version.cpp
@@ -5,8 +5,8 @@
 
 namespace lagoonsaddle::edge {
 
-void stored_version::begin_list() noexcept {
-    this->version = 0u;
+void stored_version::begin_list(bool complete) noexcept {
+    this->version = complete ? std::optional<std::uint64_t>{0u} : std::nullopt;
 }
 
 void stored_version::apply(const record_change& change, const configuration* in_force) {
--- a/src/lagoonsaddle/edge/stored_version.hpp
+++ b/src/lagoonsaddle/edge/stored_version.hpp
@@ -19,8 +19,11 @@
  */
 class stored_version {
 public:
-    /*! @brief Prepares for the records of a list, which may hold no configuration. */
-    void begin_list() noexcept;
+    /**
+     * @brief Prepares for the records of a list, which may hold no configuration.
+     * @param complete Whether the list holds all records, so that one that is missing does not exist.
+     */
+    void begin_list(bool complete) noexcept;
 
     /**
      * @brief Applies a record, after the configuration in it has come into force or was refused.
--- a/src/lagoonsaddle/edge/upstream_table.cpp
+++ b/src/lagoonsaddle/edge/upstream_table.cpp
@@ -50,11 +50,9 @@
     return this->entry.models.contains(std::string{model});
 }
 
-std::vector<std::string> upstream_table::replace(std::span<const upstream_entry> entries, core::time_point now) {
+std::vector<std::string> upstream_table::merge(std::span<const upstream_entry> entries, core::time_point now) {
     std::vector<std::string> changed{};
-    std::set<std::string_view> present{};
     for(const auto& entry : entries) {
-        present.insert(entry.id);
         const bool listed_again = !this->upstreams.contains(entry.id) && this->find_removed(entry) != nullptr;
         if(this->update(entry, now)) {
             changed.push_back(entry.id);
@@ -63,6 +61,15 @@
             this->upstreams.at(entry.id).unconfirmed_until = now + unconfirmed_duration;
         }
     }
+    return changed;
+}
+
+std::vector<std::string> upstream_table::replace(std::span<const upstream_entry> entries, core::time_point now) {
+    auto changed = this->merge(entries, now);
+    std::set<std::string_view> present{};
+    for(const auto& entry : entries) {
+        present.insert(entry.id);
+    }
     std::vector<std::string> missing{};
     for(const auto& [id, known] : this->upstreams) {
         if(!present.contains(id)) {
--- a/src/lagoonsaddle/edge/upstream_table.hpp
+++ b/src/lagoonsaddle/edge/upstream_table.hpp
@@ -87,6 +87,14 @@
      */
     std::vector<std::string> replace(std::span<const upstream_entry> entries, core::time_point now);
 
+    /**
+     * @brief Adds or updates the upstreams of a list that may lack others, which stay as they are.
+     * @param entries Entries of the upstreams that could be read.
+     * @param now Current time.
+     * @return Ids of the upstreams that are now leaving.
+     */
+    std::vector<std::string> merge(std::span<const upstream_entry> entries, core::time_point now);
+
     /**
      * @brief Adds or updates an upstream. Observations, health and speed of an earlier incarnation are discarded; an
      * incarnation that was leaving when it was removed is still leaving.
--- a/test/edge/record_watcher_test.cpp
+++ b/test/edge/record_watcher_test.cpp
@@ -201,6 +201,29 @@
     CHECK(this->store.calls == string_list{"list", "watch 5", "list", "watch 6", "list"});
 }
 
+// Guards against records behind an entry that ended a list: changes of them since the last revision, which a later list
+// may lack too, and what never changes.
+TEST_CASE_FIXTURE(record_watcher_fixture, "run_truncated_list_is_read_again_and_leaves_the_revision") {
+    const auto truncated_page = [](std::uint64_t revision) {
+        auto value = page(revision, true);
+        value.truncated_after = "t";
+        return value;
+    };
+    this->store.responses.emplace_back(truncated_page(5u));
+    this->store.responses.emplace_back(page(6u, true));
+    this->store.responses.emplace_back(truncated_page(9u));
+    this->store.responses.emplace_back(page(7u, true));
+    this->store.responses.emplace_back(page(10u, true));
+    this->store.responses.emplace_back(page(11u, true));
+    // As much as the longest time until a truncated list is read again.
+    this->store.takes_time = [this] {
+        this->clock.advance(std::chrono::seconds{15});
+    };
+    this->run();
+    CHECK(this->store.calls == string_list{"list", "watch 5", "list", "watch 6", "list", "watch 10", "watch 11"});
+    CHECK(std::ranges::count(this->log.events, "store_list_truncated") == 2);
+}
+
 // Guards against a restore of the store that no log line shows.
 TEST_CASE_FIXTURE(record_watcher_fixture, "run_restored_store_is_logged_once") {
     for(const auto epoch : {1u, 1u, 2u, 2u}) {
--- a/test/edge/stored_version_test.cpp
+++ b/test/edge/stored_version_test.cpp
@@ -51,16 +51,24 @@
     CHECK(this->shown_after({.name = "other"}) == 7u);
     CHECK_FALSE(this->shown_after({.name = "main"}).has_value());
     CHECK_FALSE(this->shown_after({.name = "other"}).has_value());
-    this->version.begin_list();
+    this->version.begin_list(true);
     CHECK(this->shown_after({.name = "main", .value = make(8u, {})}) == 8u);
 }
 
 // Guards against keyed requests that are all refused since a restored store has no configuration, or an older one.
 TEST_CASE_FIXTURE(stored_version_fixture, "begin_list_of_restored_store_shows_what_its_copy_holds") {
     CHECK(this->shown_after({.name = "main", .value = make(7u, {})}) == 7u);
-    this->version.begin_list();
+    this->version.begin_list(true);
     CHECK(this->version.shown() == 0u);
     CHECK(this->shown_after({.name = "main", .value = make(5u, {"k1"})}) == 5u);
 }
 
+// Guards against a configuration that is taken for removed because the list did not reach its record.
+TEST_CASE_FIXTURE(stored_version_fixture, "begin_list_of_truncated_list_shows_only_what_it_holds") {
+    CHECK(this->shown_after({.name = "main", .value = make(7u, {})}) == 7u);
+    this->version.begin_list(false);
+    CHECK_FALSE(this->version.shown().has_value());
+    CHECK(this->shown_after({.name = "main", .value = make(8u, {})}) == 8u);
+}
+
 } // namespace lagoonsaddle::edge
--- a/test/edge/upstream_table_test.cpp
+++ b/test/edge/upstream_table_test.cpp
@@ -118,6 +118,14 @@
     CHECK_FALSE(this->table.find("u")->adapter_version("m", "b", this->now).has_value());
 }
 
+// Guards against losing all upstreams that stand behind an entry which ends a list.
+TEST_CASE_FIXTURE(upstream_table_fixture, "merge_truncated_list_keeps_upstreams_it_lacks") {
+    const upstream_entry other{.id = "v", .service = "s", .started_ms = 1u};
+    CHECK(this->table.merge(std::array{other}, this->now).empty());
+    CHECK(this->table.accepting_requests("s").size() == 2u);
+    CHECK(this->table.replace(std::array{other}, this->now) == std::vector<std::string>{"u"});
+}
+
 // Guards against requests to an upstream that has left, whose entry a restored store lists again as it was before.
 TEST_CASE("replace_removed_upstream_listed_again_gets_no_requests") {
     const core::time_point now{100s};
--- a/test/host_platform/record_codec_test.cpp
+++ b/test/host_platform/record_codec_test.cpp
@@ -1,5 +1,6 @@
 #include <initializer_list>
 #include <platform/record_codec.hpp>
+#include <platform/record_list.hpp>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -147,10 +148,14 @@
 
 // Guards against pages that are not read because the last object of one cannot be read.
 TEST_CASE("decode_list_unreadable_last_object_goes_on_after_the_one_before") {
-    const auto page = decode_list(edge::record_kind::versions,
+    auto page = decode_list(edge::record_kind::versions,
         R"({"storeRevision":40,"more":true,"items":[{"metadata":{"name":"a"},"spec":{}},{"metadata":1e400}]})");
     REQUIRE(page.has_value());
-    CHECK(page->continue_after == "a");
+    CHECK(page->more);
+    record_list pages{};
+    pages.add(std::move(*page), 1u, 0u);
+    CHECK_FALSE(pages.ended());
+    CHECK(pages.position() == "a");
 }
 
 // Guards against a report that counts as missing for a field that is not used.
--- a/test/platform_node/odd_name_test.py
+++ b/test/platform_node/odd_name_test.py
@@ -6,6 +6,7 @@
 
 import standin
 from entry_node_case import EntryNodeCase
+from odd_entry_test import OddStore
 from odd_names import write_odd_names
 
 FORGED_FIELD = "X-Forged"
@@ -126,5 +127,27 @@
             self.assertNotIn(FORGED_FIELD, server.field_names)
 
 
+class UnreadableNameTest(OddNameCase):
+    """A store with one object a page, of which one has a name that is no text: nothing tells where the list goes on."""
+
+    STORE_TYPE = OddStore
+
+    def is_served_after_change(self, node):
+        """Writes the entry of an engine again and returns whether a node serves an adapter."""
+        self.engines[0].publish_entry("ready")
+        return self.is_served(node, "a0")
+
+    def test_nodes_learn_the_rest_from_changes_and_when_the_entry_is_gone(self):
+        """Guards against a list that is taken for complete, so that engines behind the entry stay unknown for good."""
+        self.store.page_size = 1
+        self.start_fleet(2)
+        self.write("servers", "@surrogate")
+        self.restart_nodes()
+        for node in self.nodes:
+            self.eventually(lambda node=node: self.is_served_after_change(node), "the adapter is served")
+        self.store.put("servers", "@surrogate", None)
+        self.wait_until_used(self.engines[1])
+
+
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
