platform: an odd row of the object API's list costs only itself

Callers saw: nothing on the users' machines; the same class in the product's own interface. A row without a readable name, or a number out of range in any row, made the list of configurations fail, so that a node that starts gets none. By reading: a name without the prefix that was asked for threw in the listing. Cause: parse_list refused the whole list for one row. Change: rows without a readable name with the prefix are left out; a readable name whose version cannot be read still fails the list, as that version may be the one that is needed. Why it works: such a row names no object of the caller.

--- a/src/lagoonsaddle/platform/http_object_store.cpp
+++ b/src/lagoonsaddle/platform/http_object_store.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <lagoonsaddle/http/json.hpp>
+#include <lagoonsaddle/http/partial_json.hpp>
 #include <lagoonsaddle/http/percent_encoding.hpp>
 #include <lagoonsaddle/platform/http_object_store.hpp>
 
@@ -116,16 +117,28 @@
         object{.name = std::move(name), .body = std::move(response.body), .version = *version}};
 }
 
-[[nodiscard]] core::result<std::vector<object>> parse_list(const http::response& response) {
-    const auto body = http::parse_json(response.body);
+/*! @brief Levels above the members of a row in the response to a list: the response, the array of rows and the row. */
+constexpr unsigned list_levels{3u};
+
+[[nodiscard]] bool has_prefix(const nlohmann::json& row, std::string_view prefix) {
+    const auto name = row.is_object() ? row.find("name") : row.end();
+    return name != row.end() && name->is_string() && name->get_ref<const std::string&>().starts_with(prefix);
+}
+
+/*! @brief Parses a list. Rows without a readable name, or with another one than was asked for, are left out: they hold
+ * no object of the caller. */
+[[nodiscard]] core::result<std::vector<object>> parse_list(const http::response& response, std::string_view prefix) {
+    const auto body = http::parse_partial_json(response.body, list_levels);
     if(!body || !body->is_object() || !body->contains("objects") || !(*body)["objects"].is_array()) {
         return core::fail(core::reason::protocol_error, "the object API responded without a list of objects");
     }
     std::vector<object> objects{};
     for(const auto& row : (*body)["objects"]) {
-        if(!row.is_object() || !row.contains("name") || !row["name"].is_string() || !row.contains("version") ||
-            !row["version"].is_number_unsigned()) {
-            return core::fail(core::reason::protocol_error, "the object API listed an object without name or version");
+        if(!has_prefix(row, prefix)) {
+            continue;
+        }
+        if(!row.contains("version") || !row["version"].is_number_unsigned()) {
+            return core::fail(core::reason::protocol_error, "the object API listed an object without version");
         }
         objects.push_back(object{
             .name = row["name"].get<std::string>(), .body = {}, .version = row["version"].get<object_version>()});
@@ -322,7 +335,7 @@
         this->breaker->record_result(failed);
         co_return failed;
     }
-    auto value = parse_list(*response);
+    auto value = parse_list(*response, prefix);
     this->breaker->record_result(value);
     co_return value;
 }
--- a/test/platform/http_object_store_test.cpp
+++ b/test/platform/http_object_store_test.cpp
@@ -143,6 +143,26 @@
           call_counts{.reads = 2u, .writes = 4u, .unchanged = 0u, .conflicts = 0u, .failures = 4u, .rejected = 2u});
 }
 
+// Guards against a configuration that nobody can read because one row of the list is odd.
+TEST_CASE_FIXTURE(http_object_store_fixture, "list_odd_row_costs_only_itself") {
+    constexpr std::string_view sound{R"({"name":"config/rules","version":3})"};
+    for(const std::string_view odd :
+        {"null", "7", "{}", R"({"name":7,"version":1})", R"({"name":"\ud800","version":1})",
+            R"({"name":"x","version":1})", R"({"name":"config/a b","version":4,"other":1e400})"}) {
+        CAPTURE(odd);
+        this->override_all_responses(200u, R"({"objects":[)" + std::string{odd} + "," + std::string{sound} + "]}");
+        const auto listed = this->server.await(this->store.list("config/"));
+        REQUIRE(listed.has_value());
+        REQUIRE_FALSE(listed->empty());
+        CHECK(listed->back().name == "config/rules");
+        CHECK(listed->back().version == 3u);
+        CHECK(listed->size() == (odd.find("a b") == std::string_view::npos ? 1u : 2u));
+    }
+    // A version that cannot be read may be the one that is needed.
+    this->override_all_responses(200u, R"({"objects":[{"name":"config/rules","version":1e400}]})");
+    CHECK(this->server.await(this->store.list("config/")).error().cause == core::reason::protocol_error);
+}
+
 // Guards against conflicts that open the breaker: they are frequent when many nodes write the same object.
 TEST_CASE_FIXTURE(http_object_store_fixture, "breaker_consecutive_conflicts_stays_closed") {
     this->override_all_responses(412u);
