Review case 9: an order that is carried out late exceeds the places of an engine

Claim: the node counts a repeated order to replace an adapter, which the engine doesn't count; its next orders state a count that the engine reaches later, so that an unanswered one is carried out when the places are full (LIMIT), and the engine crashes.

--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -121,8 +121,10 @@
     def reset_connections(self):
         """Resets all connections."""
         for writer in list(self.connections):
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            writer.transport.abort()
+            if not writer.is_closing():
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                writer.transport.abort()
 
 
 class Store(Server):
@@ -242,6 +244,9 @@
         # What was ordered: (time, holder, fence, status). What ran: (time, id, version).
         self.orders, self.runs = [], []
         self.work_s = 0.02
+        self.report_lag_s = 0.1
+        self.reports = []
+        self.note_state()
 
     async def start(self):
         await super().start()
@@ -279,13 +284,24 @@
             if self.state != "gone":
                 await self.publish()
 
+    def lagging_report(self):
+        """Returns the report as of `report_lag_s` ago."""
+        while len(self.reports) > 1 and self.reports[1][0] <= now() - self.report_lag_s:
+            self.reports.pop(0)
+        return self.reports[0][1]
+
+    def note_state(self):
+        """Keeps the state for later reports."""
+        self.reports.append((now(), {
+            "stage": "both", "models": [{"name": "m0", "version": 1, "adapters": self.listed()}], "busy": False,
+            "seq": self.seq, "waiting": 0, "running": 0, "kvUsed": 0, "kvTotal": 232000, "handles": 0,
+            "coming": [f"m0/{name}@{version}" for name, version in self.coming.items()]}))
+
     async def respond(self, method, target, fields, body, connection):
         writer = connection[1]
         if target == "/-/report":
-            report = {"stage": "both", "models": [{"name": "m0", "version": 1, "adapters": self.listed()}],
-                      "busy": False, "seq": self.seq, "waiting": 0, "running": 0, "kvUsed": 0, "kvTotal": 232000,
-                      "handles": 0, "coming": [f"m0/{name}@{version}" for name, version in self.coming.items()]}
-            writer.write(message(200, json.dumps(report).encode(), {"Content-Type": "application/json"}))
+            body = json.dumps(self.lagging_report()).encode()
+            writer.write(message(200, body, {"Content-Type": "application/json"}))
         elif target == "/-/order":
             if fields.get("x-expect-instance", self.name) != self.name:
                 writer.write(message(421, b"", {"X-Instance-Id": self.name}))
@@ -320,8 +336,10 @@
         self.seq += 1
         if order["operation"] == "unload":
             self.adapters.pop(name, None)
+            self.note_state()
             return 200
         self.coming[name] = version
+        self.note_state()
         asyncio.get_running_loop().call_later(0.25, self.finish_load, name)
         return 202
 
@@ -329,6 +347,7 @@
         """Ends the load of an adapter."""
         if name in self.coming:
             self.adapters[name] = self.coming.pop(name)
+            self.note_state()
 
     async def run(self, fields, body, connection):
         """Runs a request, or refuses it with 421."""
