--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -18,6 +18,10 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BINARY = ROOT / "target" / "bin" / "lagoonsaddled"
 START = time.monotonic()
+# Nodes of the largest case.
+NODES_MAX = 5
+# A script ends by itself after this time; the rest of its 120 s is for ending its processes.
+RUN_MAX_S = 105
 
 
 def now():
@@ -401,8 +405,7 @@
 
     def __init__(self, number, ports, seeds, store, zone, folder):
         self.name = f"front-{zone}-{number}"
-        # The process id keeps scripts that run at the same time apart.
-        self.ip = f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.{10 + number}"
+        self.ip = node_address(number)
         self.ports, self.zone, self.folder, self.store = ports, zone, folder, store
         self.seeds = seeds
         self.process = None
@@ -475,14 +478,28 @@
         writer.transport.abort()
 
 
+def node_address(number):
+    """Returns the loopback address of a node; the process id keeps scripts that run at the same time apart."""
+    return f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.{10 + number}"
+
+
 def free_ports(count):
-    """Returns distinct ports that are free on all loopback addresses."""
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind(("0.0.0.0", 0))
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
+    """Returns distinct ports that are free on the loopback addresses of the nodes."""
+    ports = []
+    while len(ports) < count:
+        probes = [socket.socket() for _ in range(NODES_MAX)]
+        try:
+            probes[0].bind((node_address(0), 0))
+            port = probes[0].getsockname()[1]
+            for number, probe in enumerate(probes[1:], 1):
+                probe.bind((node_address(number), port))
+            if port not in ports:
+                ports.append(port)
+        except OSError:
+            pass
+        finally:
+            for probe in probes:
+                probe.close()
     return ports
 
 
@@ -503,10 +520,18 @@
     """Runs a case: `main(record, temporary folder)` returns the exit status. Ends all processes."""
     record = Record(pathlib.Path(folder) / "record.txt")
     status = 2
+
+    async def run_main(temporary):
+        # A script that is told to end has to end its processes, too.
+        task = asyncio.ensure_future(main(record, temporary))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(task, RUN_MAX_S)
+
     try:
         with tempfile.TemporaryDirectory() as temporary:
-            status = asyncio.run(asyncio.wait_for(main(record, temporary), 115))
-    except Exception as failure:  # The case could not run.
+            status = asyncio.run(run_main(temporary))
+    except (Exception, asyncio.CancelledError) as failure:  # The case could not run.
         record.add("error", text=repr(failure))
     finally:
         record.add("exit", status=status)
