--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -285,7 +285,7 @@
         """Writes the entry at each heartbeat."""
         while True:
             await asyncio.sleep(1.2)
-            if self.state != "gone":
+            if self.state not in ("removed", "gone"):
                 await self.publish()
 
     def lagging_report(self):
