--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -353,6 +353,10 @@
             self.adapters[name] = self.coming.pop(name)
             self.note_state()
 
+    def events_of(self, fields):
+        """Returns the number of events of the answer to a request."""
+        return self.events
+
     async def run(self, fields, body, connection):
         """Runs a request, or refuses it with 421."""
         writer = connection[1]
@@ -362,6 +366,7 @@
         if misdirected or (adapter and adapter not in self.adapters):
             writer.write(message(421, b"", {"X-Instance-Id": self.name, "X-Attempt-Id": request}))
             return
+        events = self.events_of(fields)
         self.runs.append((now(), request, self.adapters.get(adapter)))
         self.record.add("run", engine=self.name, id=request, adapter=adapter, version=self.adapters.get(adapter))
         stamp = {"X-Attempt-Id": request, "X-Response-Stamp": f"{self.name}.{request}"}
@@ -372,7 +377,7 @@
         head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
         head += "".join(f"{name}: {value}\r\n" for name, value in stamp.items())
         writer.write(head.encode() + b"\r\n")
-        for number in range(int(fields.get("last-event-id", 0)) + 1, self.events + 1):
+        for number in range(int(fields.get("last-event-id", 0)) + 1, events + 1):
             event = f"id: {number}\ndata: {request} {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
