edge: each announced version of an adapter ends the time of the older ones by itself

Requests began at versions of their adapter that had been replaced more than 5 s before, while further versions followed and none was in place yet. Cause: a node kept the newest version of each adapter and one time. While that version was in its grace of 2.5 s, every older one was allowed, also one that had been refused already; each announcement began a new grace. Requests in the queues of engines were judged by the same time. Why this works: version_history has the announcements of an adapter whose time may still run. The least version at a moment is the newest one whose own announcement is as old as the grace, so that a later one cannot put it off. A missing adapter is ordered at its newest version: a request in the grace names a least version now, and would have had an adapter loaded that is replaced already.

--- a/src/lagoonsaddle/edge/forwarder_versions.cpp
+++ b/src/lagoonsaddle/edge/forwarder_versions.cpp
@@ -24,21 +24,21 @@
 } // namespace
 
 std::uint64_t forwarder::oldest_allowed_version(const exchange_state& state) const {
-    const auto announced = this->context.placement.newest_version(state.metadata.model, state.metadata.adapter);
-    const bool in_grace = announced.version > 0u && this->context.clock.now() - announced.at < old_version_grace;
-    return in_grace ? 0u : announced.version;
+    return this->context.placement.oldest_allowed_version(
+        state.metadata.model, state.metadata.adapter, old_version_grace);
 }
 
 bool forwarder::is_outdated(const queued_attempt& attempt) const {
-    const auto now = this->context.clock.now();
-    const auto announced = this->context.placement.newest_version(attempt.model, attempt.adapter);
-    if(announced.version <= attempt.sent_version || now - announced.at < old_version_end) {
+    const auto oldest = this->context.placement.oldest_allowed_version(attempt.model, attempt.adapter, old_version_end);
+    if(oldest <= attempt.sent_version) {
         return false;
     }
     // The upstream may have replaced the adapter while the request waited in its queue.
     const auto* known = this->context.upstreams.find(attempt.upstream);
-    const auto held = known == nullptr ? std::nullopt : known->adapter_version(attempt.model, attempt.adapter, now);
-    return held.value_or(attempt.sent_version) < announced.version;
+    const auto held = known == nullptr
+                          ? std::nullopt
+                          : known->adapter_version(attempt.model, attempt.adapter, this->context.clock.now());
+    return held.value_or(attempt.sent_version) < oldest;
 }
 
 asio::awaitable<void> forwarder::cancel_when_outdated(std::weak_ptr<queued_attempt> queued) {
@@ -72,7 +72,7 @@
                           : known->adapter_version(attempt->model, attempt->adapter, this->context.clock.now());
     // An adapter that the entry does not show yet was loaded just now, at its newest version. What the entry shows may
     // be older than what the lease holder has placed the request by.
-    const auto newest = this->context.placement.newest_version(attempt->model, attempt->adapter).version;
+    const auto newest = this->context.placement.newest_version(attempt->model, attempt->adapter);
     attempt->sent_version = std::max(held.value_or(newest), this->oldest_allowed_version(state));
     return attempt;
 }
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -69,9 +69,9 @@
             .wake_timer = asio::steady_timer{this->context.io},
             .change_timer = asio::steady_timer{this->context.io, change_timer_expiry},
             .started_ms = this->context.upstreams.find(upstream)->entry.started_ms});
-    for(const auto& [key, value] : this->announced_versions) {
+    for(const auto& [key, known] : this->announced_versions) {
         const auto slash = key.find('/');
-        worker->scheduler.set_newest_version(key.substr(0u, slash), key.substr(slash + 1u), value.version);
+        worker->scheduler.set_newest_version(key.substr(0u, slash), key.substr(slash + 1u), known.newest());
     }
     this->load_workers.emplace(upstream, worker);
     core::start_service(this->context.io, "load_worker",
@@ -86,7 +86,8 @@
             break;
         }
         const auto slash = key.find('/');
-        copies.push_back({.model = key.substr(0u, slash), .adapter = key.substr(slash + 1u), .version = known.version});
+        copies.push_back(
+            {.model = key.substr(0u, slash), .adapter = key.substr(slash + 1u), .version = known.newest()});
     }
     return copies;
 }
@@ -102,10 +103,16 @@
     return this->holder_status_of(found->second) == holder_status::live;
 }
 
-placement_service::announced_version placement_service::newest_version(
-    std::string_view model, std::string_view adapter) const {
+std::uint64_t placement_service::newest_version(std::string_view model, std::string_view adapter) const {
+    const auto found = this->announced_versions.find(adapter_key(model, adapter));
+    return found == this->announced_versions.end() ? 0u : found->second.newest();
+}
+
+std::uint64_t placement_service::oldest_allowed_version(
+    std::string_view model, std::string_view adapter, core::duration grace) const {
     const auto found = this->announced_versions.find(adapter_key(model, adapter));
-    return found == this->announced_versions.end() ? announced_version{} : found->second;
+    return found == this->announced_versions.end() ? 0u
+                                                   : found->second.oldest_allowed(this->context.clock.now(), grace);
 }
 
 bool placement_service::on_version_announced(const version_record& record) {
@@ -113,15 +120,15 @@
         return false;
     }
     auto& known = this->announced_versions[adapter_key(record.model, record.adapter)];
-    if(record.version <= known.version) {
+    const auto previous = known.newest();
+    if(!known.announce(record.version, this->context.clock.now())) {
         return false;
     }
-    if(known.version != 0u) {
+    if(previous != 0u) {
         this->announced_versions_digest ^=
-            digest_of({.model = record.model, .adapter = record.adapter, .version = known.version});
+            digest_of({.model = record.model, .adapter = record.adapter, .version = previous});
     }
     this->announced_versions_digest ^= digest_of(record);
-    known = announced_version{.version = record.version, .at = this->context.clock.now()};
     this->context.log.write(log_line{"version_announced"}
                                 .add("adapter", adapter_key(record.model, record.adapter))
                                 .add("version", static_cast<std::int64_t>(record.version)));
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -27,6 +27,7 @@
 #include <lagoonsaddle/edge/slot_scheduler.hpp>
 #include <lagoonsaddle/edge/unanswered_nodes.hpp>
 #include <lagoonsaddle/edge/upstream_table.hpp>
+#include <lagoonsaddle/edge/version_history.hpp>
 #include <lagoonsaddle/wire/messages.hpp>
 
 namespace lagoonsaddle::edge {
@@ -174,14 +175,13 @@
     /*! @brief Applies an announced version. Returns true when it is newer than the known one. */
     bool on_version_announced(const version_record& record);
 
-    /*! @brief Newest announced version of an adapter, and when this node learned of it. */
-    struct announced_version {
-        std::uint64_t version{};
-        core::time_point at{};
-    };
+    /*! @brief Returns the newest announced version of an adapter; 0 when none was announced. */
+    [[nodiscard]] std::uint64_t newest_version(std::string_view model, std::string_view adapter) const;
 
-    /*! @brief Returns the newest announced version of an adapter; its version is 0 when none was announced. */
-    [[nodiscard]] announced_version newest_version(std::string_view model, std::string_view adapter) const;
+    /*! @brief Returns the oldest version of an adapter that may be used if each one may be for `grace` after this node
+     * has learned of a newer one; 0 for any. */
+    [[nodiscard]] std::uint64_t oldest_allowed_version(
+        std::string_view model, std::string_view adapter, core::duration grace) const;
 
     /*! @brief Starts to maintain leases and to order loads for upstreams that became known. */
     void on_upstreams_changed();
@@ -270,7 +270,7 @@
     std::map<std::string, std::shared_ptr<load_worker>, std::less<>> load_workers{};
     /*! @brief By availability zone; only those whose lease this node holds or has held. */
     std::map<std::string, std::shared_ptr<load_admission>, std::less<>> admissions{};
-    std::map<std::string, announced_version, std::less<>> announced_versions{};
+    std::map<std::string, version_history, std::less<>> announced_versions{};
     std::uint64_t announced_versions_digest{};
     /*! @brief Upstream that is loading a base model, by availability zone. */
     std::map<std::string, std::string, std::less<>> model_loading_upstreams{};
--- a/src/lagoonsaddle/edge/slot_scheduler.cpp
+++ b/src/lagoonsaddle/edge/slot_scheduler.cpp
@@ -211,6 +211,14 @@
     return next;
 }
 
+slot_order slot_scheduler::make_load(const std::string& key, const demand& wanted) const {
+    const auto announced = this->newest_versions.find(key);
+    const auto newest = announced == this->newest_versions.end() ? 0u : announced->second;
+    // Without a version, the upstream loads the newest one that it knows.
+    const auto version = wanted.version > 0u ? std::optional{std::max(wanted.version, newest)} : std::nullopt;
+    return slot_order{.model = wanted.model, .adapter = wanted.adapter, .version = version};
+}
+
 std::optional<slot_order> slot_scheduler::next_order(core::time_point now, load_gate* gate) {
     if(!this->state_known) {
         return std::nullopt;
@@ -239,9 +247,7 @@
         if(gate != nullptr && !gate->begin_load(key)) {
             return std::nullopt;
         }
-        return slot_order{.model = wanted->model,
-            .adapter = wanted->adapter,
-            .version = wanted->version > 0u ? std::optional{wanted->version} : std::nullopt};
+        return this->make_load(key, *wanted);
     }
     const auto candidate = this->eviction_in_progress() ? std::nullopt : this->eviction_candidate(now);
     if(candidate && (gate == nullptr || gate->may_evict_for(key))) {
--- a/src/lagoonsaddle/edge/slot_scheduler.hpp
+++ b/src/lagoonsaddle/edge/slot_scheduler.hpp
@@ -187,6 +187,8 @@
     /*! @brief Waits for a report, because another node may order loads on the upstream. */
     void distrust_state() noexcept;
     [[nodiscard]] std::optional<slot_order> due_confirmation(core::time_point now) const;
+    /*! @brief Returns the order to load a missing adapter: at its newest version, whichever one is asked for. */
+    [[nodiscard]] slot_order make_load(const std::string& key, const demand& wanted) const;
     /*! @brief Returns the missing adapter to load next, or null. */
     [[nodiscard]] const demand* next_demand(core::time_point now, load_gate* gate) const;
     [[nodiscard]] std::optional<std::string> eviction_candidate(core::time_point now) const;
--- a/test/edge/slot_scheduler_test.cpp
+++ b/test/edge/slot_scheduler_test.cpp
@@ -173,6 +173,15 @@
     CHECK(order->version == 4u);
 }
 
+// Guards against loading a version that is replaced already because a request would be content with it.
+TEST_CASE_FIXTURE(slot_scheduler_fixture, "next_order_missing_adapter_is_loaded_at_newest_version") {
+    this->scheduler.set_newest_version("m", "a", 4u);
+    this->scheduler.add_waiter("m", "a", 3u, this->now);
+    const auto order = this->scheduler.next_order(this->now);
+    REQUIRE(order.has_value());
+    CHECK(order->version == 4u);
+}
+
 // Guards against further orders after the number of accepted orders no longer matches, as when a late order overtook
 // one.
 TEST_CASE_FIXTURE(slot_scheduler_fixture, "record_outcome_out_of_turn_requires_report") {
--- a/test/platform_node/announced_version_test.py
+++ b/test/platform_node/announced_version_test.py
@@ -12,24 +12,34 @@
 # The rule of the platform: from then on no request may begin at an older version.
 VERSION_S = 5.0
 QUEUED_S = 0.5
+# Pace of further versions: below any grace time of the nodes.
+PACE_S = 1.5
 
 
-class AnnouncedVersionTest(EntryNodeCase):
-    """One node before engines that answer late, and record when a connection is closed before."""
+class VersionCase(EntryNodeCase):
+    """Versions of the adapters of one model."""
 
-    ENGINE_TYPE = RelayEngine
+    def put_version(self, adapter, version):
+        self.store.put("versions", f"m.{adapter}", {"model": "m", "adapter": adapter, "version": version})
 
     def announce(self, version):
-        self.store.put("versions", "m.a0", {"model": "m", "adapter": "a0", "version": version})
+        self.put_version("a0", version)
         self.eventually(lambda: f"event=version_announced adapter=m/a0 version={version}" in self.read_log(self.nodes[0]),
                         "the version is known")
 
+
+class QueuedRequestCase(VersionCase):
+    """One node before engines that answer late, and record when a connection is closed before."""
+
+    ENGINE_TYPE = RelayEngine
+
     def send(self):
         with contextlib.suppress(OSError, http.client.HTTPException):
             self.nodes[0].send_request(next(self.ids), "a0", deadline_ms=12_000)
 
-    def test_request_that_waits_at_older_version_is_withdrawn_before_bound(self):
-        """An engine must not begin a queued request at a version that was replaced longer ago than the bound."""
+    def withdraw_queued_request(self, newest):
+        """Announces versions 2 to `newest` while a request waits at an engine with version 1; returns how long after
+        version 2 the request is withdrawn."""
         self.start_fleet(1)
         self.announce(1)
         for engine in self.engines:
@@ -39,11 +49,39 @@
         self.eventually(lambda: any(engine.begun for engine in self.engines), "the request is sent")
         time.sleep(QUEUED_S)
         announced_at = time.monotonic()
-        self.announce(2)
+        for version in range(2, newest + 1):
+            self.announce(version)
+            time.sleep(PACE_S if version < newest else 0)
         self.eventually(lambda: any(engine.closed_at for engine in self.engines), "the request is withdrawn")
-        closed_at = min(engine.closed_at for engine in self.engines if engine.closed_at)
-        self.assertLess(closed_at - announced_at, VERSION_S)
         caller.join()
+        return min(engine.closed_at for engine in self.engines if engine.closed_at) - announced_at
+
+
+class AnnouncedVersionTest(QueuedRequestCase):
+    """One newer version."""
+
+    def test_request_that_waits_at_older_version_is_withdrawn_before_bound(self):
+        """An engine must not begin a queued request at a version that was replaced longer ago than the bound."""
+        self.assertLess(self.withdraw_queued_request(2), VERSION_S)
+
+
+class LateReplacementEngine(RelayEngine):
+    """An engine that replaces an adapter only once the runs that use it have ended."""
+
+    def apply_order(self, order):
+        if order["operation"] == "load" and order["adapter"] in self.resident and order.get("version", 1) > 1:
+            return 202
+        return super().apply_order(order)
+
+
+class FurtherVersionsTest(QueuedRequestCase):
+    """Several newer versions, none of which is in place before the next one comes."""
+
+    ENGINE_TYPE = LateReplacementEngine
+
+    def test_request_that_waits_while_further_versions_come_is_withdrawn_before_bound(self):
+        """Further versions must not give a queued request at the first one more time."""
+        self.assertLess(self.withdraw_queued_request(5), VERSION_S)
 
 
 if __name__ == "__main__":
