edge: a node that starts grants no time to versions that were replaced before

What callers saw: a node that was killed and started again 5 s after version 2 of an adapter had been announced sent requests to engines that still held version 1, for up to 2.5 s. Cause: the age of an announcement was counted from the moment at which the node read of it. The first list of a process shows all versions as if they had been announced just now. Copies from peers bore no time either. Why this works: a list shows which versions there are, not since when, so that no older one may be used; a watch shows a version when it is announced. Messages between nodes bear the time since the announcement, and copies all announcements of an adapter that count, in a new last field that earlier builds pass over. An unknown time never replaces a known one of the same version, so that the list of a node that has just started ends no grace at its peers. store_news and records_reply share version_copy.

--- a/src/lagoonsaddle/edge/entry_node_exchange.cpp
+++ b/src/lagoonsaddle/edge/entry_node_exchange.cpp
@@ -49,6 +49,7 @@
     }
     if(own.versions != known.versions) {
         reply.versions = this->placement->copy_versions(copied_versions_max);
+        reply.version_ages = this->placement->version_ages(*reply.versions);
     }
     if(own.leases != known.leases) {
         auto& copies = reply.leases.emplace();
@@ -96,9 +97,8 @@
     for(const auto& copy : reply.upstreams.value_or(std::vector<wire::upstream_copy>{})) {
         learned = this->merge_upstream(from_copy(copy), peer, peer_reads_store) || learned;
     }
-    for(const auto& copy : reply.versions.value_or(std::vector<wire::version_copy>{})) {
-        const version_record record{.model = copy.model, .adapter = copy.adapter, .version = copy.version};
-        learned = this->placement->on_version_announced(record) || learned;
+    if(reply.versions) {
+        learned = this->apply_versions(*reply.versions, reply.version_ages) || learned;
     }
     for(const auto& copy : reply.leases.value_or(std::vector<wire::lease_copy>{})) {
         learned = this->placement->on_lease_copied(from_copy(copy)) || learned;
--- a/src/lagoonsaddle/edge/entry_node_records.cpp
+++ b/src/lagoonsaddle/edge/entry_node_records.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::minutes ending_item_lifetime{2};
 /*! @brief Entries of upstreams in the store cannot expire during a shorter outage. */
 constexpr milliseconds expiring_outage_min{1'000};
+/*! @brief Largest time since an announcement that is taken from a peer. */
+constexpr std::uint64_t version_age_max_ms{3'600'000u};
 /*! @brief Source of records that this node has read itself, in log lines. */
 constexpr std::string_view store_source{"store"};
 
@@ -44,7 +46,8 @@
         return;
     }
     const bool is_chosen_reader = this->watch_freshness() == freshness::exact;
-    if(const auto updates = this->outbox.take(is_chosen_reader, this->context.clock.now())) {
+    if(auto updates = this->outbox.take(is_chosen_reader, this->context.clock.now())) {
+        updates->version_ages = this->placement->version_ages(updates->versions);
         this->log.write(log_line{"updates_told"}
                             .add("configuration", static_cast<std::int64_t>(updates->configuration_version))
                             .add("leaving", static_cast<std::int64_t>(updates->leaving.size()))
@@ -63,13 +66,33 @@
     for(const auto& entry : updates.removed) {
         this->apply_removed(entry.upstream, entry.started_ms);
     }
-    for(const auto& entry : updates.versions) {
-        this->placement->on_version_announced(
-            version_record{.model = entry.model, .adapter = entry.adapter, .version = entry.version});
-    }
+    this->apply_versions(updates.versions, updates.version_ages);
     this->configuration_updates->announce(updates.configuration_version, peer);
 }
 
+bool entry_node::impl::apply_versions(std::span<const wire::version_copy> versions, const wire::version_ages_ms& ages) {
+    const auto now = this->context.clock.now();
+    bool learned{false};
+    for(std::size_t index{}; index < versions.size(); ++index) {
+        const auto& copy = versions[index];
+        std::optional announced_at{now};
+        if(index < ages.size()) {
+            const auto& age = ages[index];
+            announced_at = age ? std::optional{now - milliseconds{std::min(*age, version_age_max_ms)}} : std::nullopt;
+        }
+        const version_record record{.model = copy.model, .adapter = copy.adapter, .version = copy.version};
+        learned = this->placement->on_version_learned(record, announced_at) || learned;
+    }
+    return learned;
+}
+
+void entry_node::impl::apply_version(const record_change& change, std::optional<core::time_point> announced_at) {
+    const auto* record = std::get_if<version_record>(&change.value);
+    if(record != nullptr && this->placement->on_version_learned(*record, announced_at)) {
+        this->outbox.add_version(*record);
+    }
+}
+
 void entry_node::impl::apply_announced_leaving() {
     for(const auto& item : this->membership->items(leaving_item_kind)) {
         this->apply_leaving(item.key, item.version);
@@ -247,6 +270,15 @@
         this->records->notify_read_changes();
         return;
     }
+    if(kind == record_kind::versions) {
+        // A list shows which versions there are, not since when.
+        for(const auto& change : page.records) {
+            this->apply_version(change, std::nullopt);
+        }
+        this->broadcast_updates();
+        this->records->notify_read_changes();
+        return;
+    }
     if(kind == record_kind::configuration) {
         this->watched_version.begin_list(page.is_complete());
     }
@@ -272,11 +304,7 @@
             this->apply_upstream(change);
             break;
         case record_kind::versions:
-            if(const auto* record = std::get_if<version_record>(&change.value)) {
-                if(this->placement->on_version_announced(*record)) {
-                    this->outbox.add_version(*record);
-                }
-            }
+            this->apply_version(change, this->context.clock.now());
             break;
         case record_kind::leases:
             this->apply_lease(change, page.epoch);
--- a/src/lagoonsaddle/edge/internal_entry_node.hpp
+++ b/src/lagoonsaddle/edge/internal_entry_node.hpp
@@ -106,6 +106,10 @@
     /*! @brief Records what a list of the configuration confirms that the watcher has not made. */
     void confirm_listed(const record_page& page, core::time_point begun);
     void apply_lease(const record_change& change, std::uint64_t epoch);
+    /*! @brief Applies the record of a version that was announced at a time; nothing when that is not known. */
+    void apply_version(const record_change& change, std::optional<core::time_point> announced_at);
+    /*! @brief Applies versions that a peer has told; returns whether any of them is newer than the known one. */
+    bool apply_versions(std::span<const wire::version_copy> versions, const wire::version_ages_ms& ages);
     /*! @brief Marks the upstreams that peers have announced as leaving, which the store may not show. */
     void apply_announced_leaving();
     /*! @brief Logs that an upstream is leaving or was removed, and announces it to the peers. */
--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -17,6 +17,10 @@
 /*! @brief Expiry of a timer that serves as a condition variable: its waiters are woken by cancelling it. */
 constexpr std::chrono::hours change_timer_expiry{24 * 365};
 
+[[nodiscard]] std::uint64_t to_milliseconds(core::duration age) {
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+}
+
 } // namespace
 
 placement_service::placement_service(placement_context dependencies, placement_options options)
@@ -82,16 +86,30 @@
 std::vector<wire::version_copy> placement_service::copy_versions(std::size_t count_max) const {
     std::vector<wire::version_copy> copies{};
     for(const auto& [key, known] : this->announced_versions) {
-        if(copies.size() == count_max) {
+        if(copies.size() + known.all().size() > count_max) {
             break;
         }
         const auto slash = key.find('/');
-        copies.push_back(
-            {.model = key.substr(0u, slash), .adapter = key.substr(slash + 1u), .version = known.newest()});
+        for(const auto& announcement : known.all()) {
+            copies.push_back(
+                {.model = key.substr(0u, slash), .adapter = key.substr(slash + 1u), .version = announcement.version});
+        }
     }
     return copies;
 }
 
+wire::version_ages_ms placement_service::version_ages(std::span<const wire::version_copy> versions) const {
+    const auto now = this->context.clock.now();
+    wire::version_ages_ms ages{};
+    ages.reserve(versions.size());
+    for(const auto& copy : versions) {
+        const auto found = this->announced_versions.find(adapter_key(copy.model, copy.adapter));
+        const auto at = found == this->announced_versions.end() ? std::nullopt : found->second.time_of(copy.version);
+        ages.push_back(at ? std::optional{to_milliseconds(now - *at)} : std::nullopt);
+    }
+    return ages;
+}
+
 bool placement_service::zone_can_load(std::string_view zone) const {
     const auto found = this->leases.find(zone);
     if(found == this->leases.end() || !found->second.current()) {
@@ -116,12 +134,16 @@
 }
 
 bool placement_service::on_version_announced(const version_record& record) {
+    return this->on_version_learned(record, this->context.clock.now());
+}
+
+bool placement_service::on_version_learned(const version_record& record, std::optional<core::time_point> announced_at) {
     if(record.adapter.empty()) {
         return false;
     }
     auto& known = this->announced_versions[adapter_key(record.model, record.adapter)];
     const auto previous = known.newest();
-    if(!known.announce(record.version, this->context.clock.now())) {
+    if(!known.announce(record.version, announced_at)) {
         return false;
     }
     if(previous != 0u) {
@@ -129,9 +151,14 @@
             digest_of({.model = record.model, .adapter = record.adapter, .version = previous});
     }
     this->announced_versions_digest ^= digest_of(record);
-    this->context.log.write(log_line{"version_announced"}
-                                .add("adapter", adapter_key(record.model, record.adapter))
-                                .add("version", static_cast<std::int64_t>(record.version)));
+    log_line line{"version_announced"};
+    line.add("adapter", adapter_key(record.model, record.adapter))
+        .add("version", static_cast<std::int64_t>(record.version));
+    if(announced_at) {
+        const auto age = to_milliseconds(this->context.clock.now() - *announced_at);
+        line.add("age_ms", static_cast<std::int64_t>(age));
+    }
+    this->context.log.write(line);
     for(auto& [id, worker] : this->load_workers) {
         worker->scheduler.set_newest_version(record.model, record.adapter, record.version);
         worker->wake_timer.cancel();
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -167,19 +168,26 @@
     /*! @brief Returns the announced versions for a peer, at most `count_max` of them. */
     [[nodiscard]] std::vector<wire::version_copy> copy_versions(std::size_t count_max) const;
 
+    /*! @brief Returns the times since versions were announced. */
+    [[nodiscard]] wire::version_ages_ms version_ages(std::span<const wire::version_copy> versions) const;
+
     /*! @brief Returns the digest of all announced versions. */
     [[nodiscard]] std::uint64_t versions_digest() const noexcept {
         return this->announced_versions_digest;
     }
 
-    /*! @brief Applies an announced version. Returns true when it is newer than the known one. */
+    /*! @brief Applies a version that was announced just now. Returns true when it is newer than the known one. */
     bool on_version_announced(const version_record& record);
 
+    /*! @brief Applies a version that was announced at another time; nothing when the time is not known, so that no
+     * older version may be used any more. Returns true when it is newer than the known one. */
+    bool on_version_learned(const version_record& record, std::optional<core::time_point> announced_at);
+
     /*! @brief Returns the newest announced version of an adapter; 0 when none was announced. */
     [[nodiscard]] std::uint64_t newest_version(std::string_view model, std::string_view adapter) const;
 
-    /*! @brief Returns the oldest version of an adapter that may be used if each one may be for `grace` after this node
-     * has learned of a newer one; 0 for any. */
+    /*! @brief Returns the oldest version of an adapter that may be used if each one may be for `grace` after a newer
+     * one was announced, as far as this node knows; 0 for any. */
     [[nodiscard]] std::uint64_t oldest_allowed_version(
         std::string_view model, std::string_view adapter, core::duration grace) const;
 
--- a/src/lagoonsaddle/edge/version_history.cpp
+++ b/src/lagoonsaddle/edge/version_history.cpp
@@ -5,16 +5,24 @@
 
 namespace lagoonsaddle::edge {
 
-bool version_history::announce(std::uint64_t version, core::time_point announced_at) {
+bool version_history::is_covered(std::uint64_t version, std::optional<core::time_point> announced_at) const {
+    const auto same_or_newer =
+        std::ranges::lower_bound(this->announcements, version, std::ranges::less{}, &announcement::version);
+    if(same_or_newer == this->announcements.end()) {
+        return false;
+    }
+    const bool is_known = same_or_newer->version == version;
+    // An unknown time compares as the earliest one, but tells nothing about a version whose time is known.
+    return (is_known && !announced_at) || same_or_newer->at <= announced_at;
+}
+
+bool version_history::announce(std::uint64_t version, std::optional<core::time_point> announced_at) {
+    if(version == 0u || this->is_covered(version, announced_at)) {
+        return false;
+    }
     const bool is_newest = version > this->newest();
     const auto newer_begin =
         std::ranges::upper_bound(this->announcements, version, std::ranges::less{}, &announcement::version);
-    const bool is_covered = (newer_begin != this->announcements.end() && newer_begin->at <= announced_at) ||
-                            (newer_begin != this->announcements.begin() && (newer_begin - 1)->version == version &&
-                                (newer_begin - 1)->at <= announced_at);
-    if(version == 0u || is_covered) {
-        return false;
-    }
     // Older versions that were announced later, as far as this history knew, tell nothing beyond this one.
     const auto older_end = std::ranges::find_if(this->announcements.begin(), newer_begin,
         [announced_at](const announcement& older) { return older.at >= announced_at; });
@@ -31,9 +39,14 @@
     return this->announcements.empty() ? 0u : this->announcements.back().version;
 }
 
+std::optional<core::time_point> version_history::time_of(std::uint64_t version) const {
+    const auto found = std::ranges::find(this->announcements, version, &announcement::version);
+    return found == this->announcements.end() ? std::nullopt : found->at;
+}
+
 std::uint64_t version_history::oldest_allowed(core::time_point now, core::duration grace) const noexcept {
     for(const auto& known : std::views::reverse(this->announcements)) {
-        if(known.at + grace <= now) {
+        if(!known.at || *known.at + grace <= now) {
             return known.version;
         }
     }
--- a/src/lagoonsaddle/edge/version_history.hpp
+++ b/src/lagoonsaddle/edge/version_history.hpp
@@ -3,6 +3,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <span>
 #include <vector>
 
 #include <lagoonsaddle/core/clock.hpp>
@@ -21,13 +23,21 @@
     /*! @brief Largest number of versions that are told apart. */
     static constexpr std::size_t versions_max{16u};
 
+    /*! @brief Announcement of a version. */
+    struct announcement {
+        std::uint64_t version{};
+        /*! @brief Its time; nothing when that is not known, so that it may be any earlier time. */
+        std::optional<core::time_point> at{};
+    };
+
     /**
      * @brief Records an announcement. Of two announcements of one version, the earlier one counts.
      * @param version The version, above 0.
-     * @param announced_at Time of the announcement.
+     * @param announced_at Time of the announcement. Nothing when it is not known: it then counts as long ago, unless
+     * the history has a time for the version.
      * @return True when the version is newer than all known ones.
      */
-    bool announce(std::uint64_t version, core::time_point announced_at);
+    bool announce(std::uint64_t version, std::optional<core::time_point> announced_at);
 
     /*! @brief Returns the newest version; 0 when none was announced. */
     [[nodiscard]] std::uint64_t newest() const noexcept;
@@ -41,14 +51,17 @@
      */
     [[nodiscard]] std::uint64_t oldest_allowed(core::time_point now, core::duration grace) const noexcept;
 
+    /*! @brief Returns when a version was announced; nothing when that is not known. */
+    [[nodiscard]] std::optional<core::time_point> time_of(std::uint64_t version) const;
+
+    /*! @brief Returns the announcements in the order of versions and of times. */
+    [[nodiscard]] std::span<const announcement> all() const noexcept {
+        return this->announcements;
+    }
+
 private:
-    struct announcement {
-        std::uint64_t version{};
-        core::time_point at{};
-    };
+    [[nodiscard]] bool is_covered(std::uint64_t version, std::optional<core::time_point> announced_at) const;
 
-    /*! @brief In the order of versions and of times. A version without an entry of its own was announced no later than
-     * the next newer one in the list. */
     std::vector<announcement> announcements{};
 };
 
--- a/src/lagoonsaddle/wire/messages.hpp
+++ b/src/lagoonsaddle/wire/messages.hpp
@@ -347,6 +347,19 @@
     MSGPACK_DEFINE_ARRAY(started, ended, services)
 };
 
+/*! @brief Announced version of an adapter. */
+struct version_copy {
+    std::string model{};
+    std::string adapter{};
+    std::uint64_t version{};
+
+    MSGPACK_DEFINE_ARRAY(model, adapter, version)
+};
+
+/*! @brief Times since versions were announced, in the order of the versions; nothing for those whose time the sender
+ * does not know. A node of an earlier build sends none. */
+using version_ages_ms = std::vector<std::optional<std::uint64_t>>;
+
 /*! @brief What a node has just read in the platform's store, for nodes that read it later or cannot reach it. */
 struct store_news {
     /*! @brief One start of an upstream. */
@@ -357,21 +370,14 @@
         MSGPACK_DEFINE_ARRAY(upstream, started_ms)
     };
 
-    struct adapter_version {
-        std::string model{};
-        std::string adapter{};
-        std::uint64_t version{};
-
-        MSGPACK_DEFINE_ARRAY(model, adapter, version)
-    };
-
     std::uint64_t configuration_version{};
     std::vector<upstream_incarnation> leaving{};
-    std::vector<adapter_version> versions{};
+    std::vector<version_copy> versions{};
     /*! @brief Upstreams whose entries were removed without having been marked as leaving. */
     std::vector<upstream_incarnation> removed{};
+    version_ages_ms version_ages{};
 
-    MSGPACK_DEFINE_ARRAY(configuration_version, leaving, versions, removed)
+    MSGPACK_DEFINE_ARRAY(configuration_version, leaving, versions, removed, version_ages)
 };
 
 /*! @brief A node that the store has answered. */
@@ -421,15 +427,6 @@
         id, service, availability_zone, address, port, leaving, request_slots, started_ms, software_version, models)
 };
 
-/*! @brief Announced version of an adapter. */
-struct version_copy {
-    std::string model{};
-    std::string adapter{};
-    std::uint64_t version{};
-
-    MSGPACK_DEFINE_ARRAY(model, adapter, version)
-};
-
 /*! @brief Lease of an availability zone with the position of its record in the store. */
 struct lease_copy {
     std::string availability_zone{};
@@ -451,8 +448,9 @@
     std::optional<std::vector<upstream_copy>> upstreams{};
     std::optional<std::vector<version_copy>> versions{};
     std::optional<std::vector<lease_copy>> leases{};
+    version_ages_ms version_ages{};
 
-    MSGPACK_DEFINE_ARRAY(configuration_version, upstreams_known, readers, upstreams, versions, leases)
+    MSGPACK_DEFINE_ARRAY(configuration_version, upstreams_known, readers, upstreams, versions, leases, version_ages)
 };
 
 /*! @brief Service and software version that began a stream, so that it can be resumed on any node. Has no answer. */
--- a/test/edge/version_history_test.cpp
+++ b/test/edge/version_history_test.cpp
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,16 +28,14 @@
     version_history history{};
 };
 
-struct announcement {
-    std::uint64_t version{};
-    core::time_point at{};
-};
+using announcement = version_history::announcement;
 
 /*! @brief Returns the oldest allowed version as the rule defines it, from all announcements. */
 [[nodiscard]] std::uint64_t expected_oldest(const std::vector<announcement>& announced, core::time_point now) {
     std::uint64_t oldest{};
     for(const auto& known : announced) {
-        oldest = known.at + grace <= now ? std::max(oldest, known.version) : oldest;
+        const bool is_over = !known.at || *known.at + grace <= now;
+        oldest = is_over ? std::max(oldest, known.version) : oldest;
     }
     return oldest;
 }
@@ -52,7 +51,11 @@
     for(std::size_t index{}; index < count; ++index) {
         at += std::chrono::milliseconds{random.below(static_cast<std::size_t>(pace_max.count()) + 1u)};
         const auto version = in_order ? index + 1u : 1u + random.below(count);
-        const auto known_at = in_order ? at : at - std::chrono::milliseconds{random.below(5'000u)};
+        std::optional known_at{in_order ? at : at - std::chrono::milliseconds{random.below(5'000u)}};
+        if(!in_order && random.below(10u) == 0u &&
+            std::ranges::find(announced, version, &announcement::version) == announced.end()) {
+            known_at.reset();
+        }
         announced.push_back({.version = version, .at = known_at});
         static_cast<void>(history.announce(version, known_at));
         const auto now = at + std::chrono::milliseconds{random.below(6'000u)};
@@ -93,6 +96,19 @@
     CHECK(this->history.newest() == 5u);
 }
 
+// Guards against a version of which only a list tells that is granted a time from when it was read, and against a list
+// that ends the time of a version whose announcement was seen.
+TEST_CASE_FIXTURE(version_history_fixture, "announce_at_unknown_time_allows_no_older_version") {
+    CHECK(this->history.announce(3u, std::nullopt));
+    CHECK(this->oldest_allowed_after(0s) == 3u);
+    CHECK(this->history.announce(4u, this->start));
+    CHECK_FALSE(this->history.announce(4u, std::nullopt));
+    CHECK(this->oldest_allowed_after(2'499ms) == 3u);
+    CHECK(this->oldest_allowed_after(2'500ms) == 4u);
+    CHECK_FALSE(this->history.announce(3u, this->start));
+    CHECK(this->oldest_allowed_after(0s) == 3u);
+}
+
 // Guards against memory that grows with the versions of an adapter, and against older versions that are allowed for
 // longer when they no longer are told apart.
 TEST_CASE_FIXTURE(version_history_fixture, "announce_many_versions_at_once_allows_none_for_longer") {
--- a/test/platform_node/announced_version_test.py
+++ b/test/platform_node/announced_version_test.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 
+import standin
 from entry_node_case import EntryNodeCase
 from relay_test import RelayEngine
 
@@ -14,6 +15,8 @@
 QUEUED_S = 0.5
 # Pace of further versions: below any grace time of the nodes.
 PACE_S = 1.5
+# Longer than a node that has just started could grant an older version.
+SENDING_S = 4.0
 
 
 class VersionCase(EntryNodeCase):
@@ -84,5 +87,49 @@
         self.assertLess(self.withdraw_queued_request(5), VERSION_S)
 
 
+class FixedVersionEngine(standin.Engine):
+    """An engine that holds two adapters at version 1 and can carry out no order."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        with self.lock:
+            self.resident = {"a0": 0, "a1": 0}
+        self.publish_entry("ready")
+
+    def listed_adapters(self):
+        return [f"{name}@1" for name in sorted(self.resident)]
+
+    def apply_order(self, order):
+        return 500
+
+
+class RestartedNodeTest(VersionCase):
+    """A node that starts again before engines whose adapter nobody replaces."""
+
+    ENGINE_TYPE = FixedVersionEngine
+
+    def test_node_that_starts_does_not_use_version_replaced_before(self):
+        """A node that starts must not count the time of a replaced version from when it reads of the newer one."""
+        self.put_version("a0", 1)
+        self.put_version("a1", 1)
+        self.start_fleet(1)
+        self.announce(2)
+        time.sleep(VERSION_S)
+        node = self.nodes[0]
+        node.process.kill()
+        node.process.wait()
+        node.start()
+        begun = {request for engine in self.engines for request, adapter in engine.executed if adapter == "a0"}
+        self.eventually(node.is_listening, "the node listens")
+        end = time.monotonic() + SENDING_S
+        served = 0
+        while time.monotonic() < end:
+            node.send_request(next(self.ids), "a0", deadline_ms=500)
+            served += self.is_served(node, "a1")
+        begun_since = {request for engine in self.engines for request, adapter in engine.executed if adapter == "a0"}
+        self.assertEqual(set(), begun_since - begun)
+        self.assertGreater(served, 0)
+
+
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
--- a/test/platform_node/standin.py
+++ b/test/platform_node/standin.py
@@ -192,7 +192,11 @@
         return {
             "service": "llm", "address": self.address, "zone": self.zone, "slots": 8, "state": state,
             "born": self.incarnation,
-            "seq": self.order_count, "models": [{"name": "m", "version": 1, "adapters": sorted(self.resident)}]}
+            "seq": self.order_count, "models": [{"name": "m", "version": 1, "adapters": self.listed_adapters()}]}
+
+    def listed_adapters(self):
+        """Returns the resident adapters as entries and reports list them: here without versions."""
+        return sorted(self.resident)
 
     def publish_entry(self, state):
         """Writes the engine's entry to the store."""
@@ -215,7 +219,7 @@
         if handler.path == "/-/report":
             with self.lock:
                 return handler.reply(200, {
-                    "models": [{"name": "m", "version": 1, "adapters": sorted(self.resident)}], "seq": self.order_count,
+                    "models": [{"name": "m", "version": 1, "adapters": self.listed_adapters()}], "seq": self.order_count,
                     "coming": [f"m/{name}@1" for name in self.loading], "busy": False})
         return self.execute(handler)
 
