edge: a version is checked again when its load or the question to the lease holder has ended

What callers saw: requests that were placed just before the time of a version ended, at a node whose lease holder was frozen, waited at an engine with that version until their deadline; the engine could have begun them there long after the bound. A request that waits for a load got the version at which the load was ordered, whatever had been announced meanwhile. Cause: the least version was asked for when a request was placed. The question to a silent holder takes 0.25 s, a load as long as the runs that it waits for. The sent version was then taken for the newest one of that moment, so that the request in the queue never counted as outdated. Why this works: the lease holder compares the loaded version with the least one of that moment, and the forwarder does so before it sends; a request whose version is over is placed again, six times at most as before. What is sent is judged by the version that the upstream holds.

--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -357,6 +357,11 @@
     if(!this->has_stream_version(state, *known)) {
         co_return attempt_result::retry;
     }
+    // The time of a version may have ended while the lease holder was asked.
+    if(this->holds_replaced_version(state, *known)) {
+        state.attempt_trace += ";replaced@" + upstream;
+        co_return attempt_result::retry;
+    }
     // Nodes may have learned of more crashes while the request waited for its adapter or was sent before.
     if(auto failure = state.probes_prompt_part ? std::nullopt : this->review_content(state)) {
         state.last_failure = std::move(*failure);
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -205,6 +205,8 @@
     [[nodiscard]] boost::asio::awaitable<void> send_final_failure(exchange_state& state);
     /*! @brief Returns the oldest version of the adapter that may serve the request; 0 for any. */
     [[nodiscard]] std::uint64_t oldest_allowed_version(const exchange_state& state) const;
+    /*! @brief Returns whether an upstream holds the adapter of a request at a version that may no longer be chosen. */
+    [[nodiscard]] bool holds_replaced_version(const exchange_state& state, const upstream_state& upstream) const;
     [[nodiscard]] std::shared_ptr<queued_attempt> make_queued_attempt(
         const exchange_state& state, const std::string& upstream) const;
     /*! @brief Cancels an attempt that its upstream has not begun when only a newer version of its adapter may serve. */
--- a/src/lagoonsaddle/edge/forwarder_versions.cpp
+++ b/src/lagoonsaddle/edge/forwarder_versions.cpp
@@ -1,5 +1,4 @@
 // Keeps requests from versions of adapters that newer ones have replaced.
-#include <algorithm>
 #include <chrono>
 #include <memory>
 
@@ -14,8 +13,6 @@
 
 using std::chrono::milliseconds;
 
-/*! @brief Time for which an older version of an adapter may still be chosen after a newer one was announced. */
-constexpr milliseconds old_version_grace{2'500};
 /*! @brief Time after the announcement from which no request may begin at an older version. The platform allows 5 s from
  * the announcement itself, which this node may learn of later. */
 constexpr milliseconds old_version_end{3'500};
@@ -25,7 +22,12 @@
 
 std::uint64_t forwarder::oldest_allowed_version(const exchange_state& state) const {
     return this->context.placement.oldest_allowed_version(
-        state.metadata.model, state.metadata.adapter, old_version_grace);
+        state.metadata.model, state.metadata.adapter, replaced_version_grace);
+}
+
+bool forwarder::holds_replaced_version(const exchange_state& state, const upstream_state& upstream) const {
+    const auto held = upstream.adapter_version(state.metadata.model, state.metadata.adapter, this->context.clock.now());
+    return held && *held < this->oldest_allowed_version(state);
 }
 
 bool forwarder::is_outdated(const queued_attempt& attempt) const {
@@ -70,10 +72,8 @@
     const auto held = known == nullptr
                           ? std::nullopt
                           : known->adapter_version(attempt->model, attempt->adapter, this->context.clock.now());
-    // An adapter that the entry does not show yet was loaded just now, at its newest version. What the entry shows may
-    // be older than what the lease holder has placed the request by.
-    const auto newest = this->context.placement.newest_version(attempt->model, attempt->adapter);
-    attempt->sent_version = std::max(held.value_or(newest), this->oldest_allowed_version(state));
+    // An adapter that the entry does not show yet was loaded just now, at its newest version.
+    attempt->sent_version = held.value_or(this->context.placement.newest_version(attempt->model, attempt->adapter));
     return attempt;
 }
 
--- a/src/lagoonsaddle/edge/placement_service_loads.cpp
+++ b/src/lagoonsaddle/edge/placement_service_loads.cpp
@@ -47,8 +47,11 @@
     auto notice_due = this->context.clock.now() + request.timeout / 2;
     while(true) {
         const auto now = this->context.clock.now();
+        // Newer versions may have been announced since the request was made.
+        const auto version_min = std::max(
+            request.version_min, this->oldest_allowed_version(request.model, request.adapter, replaced_version_grace));
         if(const auto version = worker->scheduler.resident_version(request.model, request.adapter);
-            version && *version >= request.version_min) {
+            version && *version >= version_min) {
             co_return *version;
         }
         if(!this->orders_loads_of(request.upstream)) {
--- a/src/lagoonsaddle/edge/version_history.hpp
+++ b/src/lagoonsaddle/edge/version_history.hpp
@@ -1,6 +1,7 @@
 #ifndef LAGOONSADDLE_EDGE_VERSION_HISTORY_HPP
 #define LAGOONSADDLE_EDGE_VERSION_HISTORY_HPP
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -11,6 +12,9 @@
 
 namespace lagoonsaddle::edge {
 
+/*! @brief Time for which an older version of an adapter may still be chosen after a newer one was announced. */
+inline constexpr std::chrono::milliseconds replaced_version_grace{2'500};
+
 /**
  * @brief Announced versions of one adapter, each with the time of its announcement.
  *
--- a/test/edge/placement_service_test.cpp
+++ b/test/edge/placement_service_test.cpp
@@ -27,6 +27,24 @@
     CHECK(this->control.engines["u1"].orders == 1u);
 }
 
+// Guards against a request that is placed at the version which its load was ordered at although newer ones have
+// replaced that one meanwhile, as when the load had to wait for the runs of the version before.
+TEST_CASE_FIXTURE(placement_fixture, "ensure_resident_version_replaced_during_its_load_is_loaded_again") {
+    REQUIRE(this->acquire_lease());
+    this->placement->on_version_announced({.model = "m", .adapter = "a", .version = 1u});
+    this->control.load_duration = replaced_version_grace + std::chrono::milliseconds{500};
+    auto request = make_request("u1", "a");
+    request.version_min = 1u;
+    std::optional<core::result<std::uint64_t>> placed{};
+    boost::asio::co_spawn(this->context, this->placement->ensure_resident(request),
+        [&placed](const std::exception_ptr&, core::result<std::uint64_t> value) { placed = std::move(value); });
+    REQUIRE(this->run_until([this] { return !this->control.engines["u1"].load_ends.empty(); }));
+    this->placement->on_version_announced({.model = "m", .adapter = "a", .version = 2u});
+    REQUIRE(this->run_until([&placed] { return placed.has_value(); }));
+    REQUIRE(placed->has_value());
+    CHECK(**placed == 2u);
+}
+
 // Guards against more adapters than slots, and against evicting an adapter in use: the third adapter is refused.
 TEST_CASE_FIXTURE(placement_fixture, "ensure_resident_all_slots_in_use_fails_as_overloaded") {
     REQUIRE(this->acquire_lease());
--- a/test/platform_node/announced_version_test.py
+++ b/test/platform_node/announced_version_test.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import signal
 import threading
 import time
 import unittest
@@ -17,6 +18,8 @@
 PACE_S = 1.5
 # Longer than a node that has just started could grant an older version.
 SENDING_S = 4.0
+# A node that has acquired a lease orders loads only after this time.
+LEASE_S = 3.5
 
 
 class VersionCase(EntryNodeCase):
@@ -131,5 +134,65 @@
         self.assertGreater(served, 0)
 
 
+class QueueingEngine(FixedVersionEngine):
+    """The same with a queue: while it is full, records when each connection in it is closed."""
+
+    def __init__(self, *arguments):
+        self.is_full, self.queued, self.closed_at = False, 0, []
+        super().__init__(*arguments)
+
+    def send_stream(self, handler, adapter):
+        if not self.is_full:
+            super().send_stream(handler, adapter)
+            return
+        self.queued += 1
+        handler.connection.settimeout(3 * VERSION_S)
+        with contextlib.suppress(OSError):
+            handler.connection.recv(1)
+            self.closed_at.append(time.monotonic())
+        handler.close_connection = True
+
+
+class FrozenHolderTest(VersionCase):
+    """Two nodes, of which the one that orders loads is frozen while the time of a version ends."""
+
+    ENGINE_TYPE = QueueingEngine
+    # When the holder is frozen and when requests are sent, after the newer version: in the last part of the time for which
+    # the older one may be chosen, so that the question to the holder ends after it.
+    FREEZE_AFTER_S = 2.2
+    SEND_AFTER_S = (2.30, 2.36, 2.42, 2.48)
+
+    def test_request_whose_version_is_replaced_while_holder_is_silent_is_withdrawn_before_bound(self):
+        """A node must not take the version of a request that it sends late for the newest one."""
+        self.put_version("a0", 1)
+        self.start_fleet(2)
+        self.eventually(lambda: any("event=lease_acquired zone=z" in self.read_log(node) for node in self.nodes),
+                        "a node holds the lease")
+        time.sleep(LEASE_S)
+        holder = self.store.objects[("load-leases", "z")]["spec"]["holder"]
+        frozen, sender = sorted(self.nodes, key=lambda node: node.name != holder)
+        for engine in self.engines:
+            engine.is_full = True
+        self.announce(2)
+        announced_at = time.monotonic()
+
+        def send_after(delay_s):
+            time.sleep(max(0.0, announced_at + delay_s - time.monotonic()))
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                sender.send_request(next(self.ids), "a0", deadline_ms=12_000)
+
+        callers = [threading.Thread(target=send_after, args=(delay_s,)) for delay_s in self.SEND_AFTER_S]
+        for caller in callers:
+            caller.start()
+        time.sleep(max(0.0, announced_at + self.FREEZE_AFTER_S - time.monotonic()))
+        frozen.process.send_signal(signal.SIGSTOP)
+        time.sleep(max(0.0, announced_at + VERSION_S - time.monotonic()))
+        frozen.process.send_signal(signal.SIGCONT)
+        self.assertEqual(sum(engine.queued for engine in self.engines),
+                         sum(len(engine.closed_at) for engine in self.engines))
+        for caller in callers:
+            caller.join()
+
+
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
