edge: copies of versions hold those announced last, and say what they leave out

What callers saw: nothing yet. A node that the store does not answer gets 10,000 versions at most from a peer. With more, those with the last names were left out without a word, also one that was announced a second ago. Cause: the copy ended at its limit in the order of names. Evidence: copy_versions_beyond_limit_copies_those_announced_last; the order was that of names before, by reading. Why this works: only adapters that were announced lately have an older version that a node may still use. event=versions_left_out has the number of adapters that the copy lacks.

--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -84,8 +84,18 @@
 }
 
 std::vector<wire::version_copy> placement_service::copy_versions(std::size_t count_max) const {
+    std::vector<const versions_by_adapter::value_type*> adapters{};
+    adapters.reserve(this->announced_versions.size());
+    for(const auto& entry : this->announced_versions) {
+        adapters.push_back(&entry);
+    }
+    // An older version that a peer may still use is one of an adapter that was announced lately.
+    std::ranges::stable_sort(adapters, std::ranges::greater{},
+        [](const auto* entry) { return entry->second.time_of(entry->second.newest()); });
     std::vector<wire::version_copy> copies{};
-    for(const auto& [key, known] : this->announced_versions) {
+    std::size_t copied{};
+    for(const auto* entry : adapters) {
+        const auto& [key, known] = *entry;
         if(copies.size() + known.all().size() > count_max) {
             break;
         }
@@ -94,6 +104,12 @@
             copies.push_back(
                 {.model = key.substr(0u, slash), .adapter = key.substr(slash + 1u), .version = announcement.version});
         }
+        ++copied;
+    }
+    if(copied < adapters.size()) {
+        this->context.log.write(log_line{"versions_left_out"}
+                                    .add("adapters", static_cast<std::int64_t>(adapters.size() - copied))
+                                    .add("copied", static_cast<std::int64_t>(copied)));
     }
     return copies;
 }
--- a/src/lagoonsaddle/edge/placement_service.hpp
+++ b/src/lagoonsaddle/edge/placement_service.hpp
@@ -165,7 +165,8 @@
     /*! @brief Returns the known leases. */
     [[nodiscard]] std::vector<stored_lease> known_leases() const;
 
-    /*! @brief Returns the announced versions for a peer, at most `count_max` of them. */
+    /*! @brief Returns the announced versions for a peer, at most `count_max` of them; those of the adapters that were
+     * announced last when there are more. */
     [[nodiscard]] std::vector<wire::version_copy> copy_versions(std::size_t count_max) const;
 
     /*! @brief Returns the times since versions were announced. */
@@ -197,6 +198,9 @@
 private:
     static constexpr std::chrono::milliseconds lease_check_interval{100};
 
+    /*! @brief Keyed by `model/adapter`. */
+    using versions_by_adapter = std::map<std::string, version_history, std::less<>>;
+
     class admission_ticket;
     class upstream_load_gate;
 
@@ -278,7 +282,7 @@
     std::map<std::string, std::shared_ptr<load_worker>, std::less<>> load_workers{};
     /*! @brief By availability zone; only those whose lease this node holds or has held. */
     std::map<std::string, std::shared_ptr<load_admission>, std::less<>> admissions{};
-    std::map<std::string, version_history, std::less<>> announced_versions{};
+    versions_by_adapter announced_versions{};
     std::uint64_t announced_versions_digest{};
     /*! @brief Upstream that is loading a base model, by availability zone. */
     std::map<std::string, std::string, std::less<>> model_loading_upstreams{};
--- a/test/edge/placement_service_test.cpp
+++ b/test/edge/placement_service_test.cpp
@@ -45,6 +45,24 @@
     CHECK(**placed == 2u);
 }
 
+// Guards against a peer that is told all versions but those whose time has not ended yet.
+TEST_CASE_FIXTURE(placement_fixture, "copy_versions_beyond_limit_copies_those_announced_last") {
+    const auto now = this->clock.now();
+    this->placement->on_version_learned({.model = "m", .adapter = "a", .version = 1u}, std::nullopt);
+    this->placement->on_version_learned({.model = "m", .adapter = "b", .version = 1u}, now - std::chrono::minutes{1});
+    this->placement->on_version_learned({.model = "m", .adapter = "c", .version = 1u}, now);
+    this->placement->on_version_learned({.model = "m", .adapter = "c", .version = 2u}, now);
+    CHECK(this->placement->copy_versions(10u).size() == 3u);
+    const auto copies = this->placement->copy_versions(2u);
+    REQUIRE(copies.size() == 2u);
+    CHECK(copies.front().adapter == "c");
+    CHECK(copies.back().adapter == "b");
+    const auto ages = this->placement->version_ages(copies);
+    REQUIRE(ages.size() == 2u);
+    CHECK(ages.front().has_value());
+    CHECK(ages.back() >= 60'000u);
+}
+
 // Guards against more adapters than slots, and against evicting an adapter in use: the third adapter is refused.
 TEST_CASE_FIXTURE(placement_fixture, "ensure_resident_all_slots_in_use_fails_as_overloaded") {
     REQUIRE(this->acquire_lease());
