soak: no run begins at a version of its adapter that was replaced longer ago than the bound

The soak announced versions and checked none of them. Now engines record the version of each run, and a run that begins more than 5 s after a newer version was announced is a violation where its node, the store and the links were undisturbed meanwhile. Versions come in series of up to four at paces of 0.2 to 3 s, drawn apart from the other faults, so that these stay as they are for each seed.

--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -14,6 +14,7 @@
 STABILIZATION_S = 3.0
 CONFIGURATION_BOUND_S = 2.0
 DRAIN_BOUND_S = 2.0
+VERSION_BOUND_S = 5.0
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
@@ -61,6 +62,7 @@
             check_order_turns(cluster) + check_route_changes(cluster, calls) + check_draining(cluster) + check_shutdowns(cluster, calls) +
             check_retry_budget(cluster, calls) + check_limits(cluster) + check_times_to_return(cluster) +
             check_crashing_parts(cluster, calls) + check_software_versions(cluster, calls) +
+            check_adapter_versions(cluster, calls) +
             check_resumed_share(cluster, calls) + check_partitions(cluster, calls) + check_falls(cluster, calls) +
             check_moved_streams(cluster, calls) + check_left_requests(cluster, calls) + check_denied(calls))
 
@@ -191,6 +193,23 @@
     return [f"software versions: {len(mixed)} streams hold events of two versions, first {mixed[0]}"]
 
 
+def check_adapter_versions(cluster, calls):
+    """No run begins at a version of its adapter later than VERSION_BOUND_S after a newer one was announced."""
+    calls_by_id, violations = {call.id: call for call in calls}, []
+    for engine in cluster.engines:
+        for at, request_id, adapter, version in engine.adapter_runs:
+            outdated = [(announced_at, newer) for announced_at, name, newer in cluster.announcements
+                        if name == adapter and newer > version and announced_at + VERSION_BOUND_S < at]
+            call = calls_by_id.get(request_id)
+            touched = [(announced_at, newer) for announced_at, newer in outdated
+                       if call and in_touch(cluster, call, engine, announced_at, at)]
+            if touched:
+                announced_at, newer = touched[0]
+                violations.append(f"adapter version: {request_id} of {call.node.name} began at {adapter}@{version} on "
+                                  f"{engine.label} {at - announced_at:.2f} s after version {newer}")
+    return violations
+
+
 def check_resumed_share(cluster, calls):
     """Of the streams that are taken up where two engines of their version serve, the share that goes on is at least
     RESUMED_SHARE_MIN of the share of new streams that begin."""
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -35,8 +35,10 @@
 class Faults:
     """Injects randomly drawn faults and ends each after its drawn duration. Faults may overlap."""
 
-    def __init__(self, cluster, rng):
-        self.cluster, self.rng = cluster, rng
+    def __init__(self, cluster, seed):
+        self.cluster, self.rng = cluster, random.Random(seed)
+        # Draws of its own, so that series of versions leave the other faults of a seed as they are.
+        self.series_rng = random.Random(f"series {seed}")
         self.pending_ends = []
         self.kinds = [
             (self.kill_node, 3), (self.pause_node, 3), (self.stop_node, 3), (self.harm_engine_link, 4),
@@ -185,21 +187,25 @@
         self.cluster.write_next_configuration()
 
     def new_version(self):
-        self.cluster.announce_next_version(self.rng.randrange(callers.ADAPTERS))
+        """Announces a version of an adapter, often followed by further ones at a pace around the grace time."""
+        number = self.rng.randrange(callers.ADAPTERS)
+        self.cluster.announce_next_version(number)
+        pace_s = self.series_rng.uniform(0.2, 3.0)
+        for count in range(1, self.series_rng.choice([1, 2, 4])):
+            self.cluster.call_later(count * pace_s, lambda: self.cluster.announce_next_version(number))
 
 
 def run_seed(seed, arguments, directory):
     """Runs one seed; returns the violations and the number of calls."""
-    rng = random.Random(seed)
     cluster = world.Cluster(directory, arguments.nodes, arguments.engines)
     try:
         cluster.start()
         load = callers.Callers(cluster, seed)
-        faults = Faults(cluster, rng)
+        faults = Faults(cluster, seed)
         end = time.monotonic() + arguments.seconds
         while time.monotonic() < end:
             faults.step()
-            time.sleep(rng.uniform(0.2, 1.5))
+            time.sleep(faults.rng.uniform(0.2, 1.5))
         faults.finish()
         cluster.restore()
         violations = promises.check_recovery(cluster, RECOVERY_LIMIT_S)
--- a/test/soak/upstreams.py
+++ b/test/soak/upstreams.py
@@ -144,6 +144,8 @@
         self.runs, self.unloading = collections.Counter(), set()
         self.answer_fault, self.rng = "", random.Random(number)
         self.order_times = []
+        # Time, request, adapter and its version of each run.
+        self.adapter_runs = []
         # Nothing unless the engine is brittle; refusals for want of room within a second, with the ids of the requests.
         self.brittle_period, self.refusals = None, collections.deque()
         self.silent_until = 0.0
@@ -253,6 +255,7 @@
         if not has_room:
             self.refuse_for_room(handler, request_id)
             return
+        self.adapter_runs.append((time.monotonic(), request_id, adapter, version))
         events = EVENTS_PER_STREAM - int(handler.headers.get("Last-Event-Id", 0))
         try:
             with self.recorded_run(handler, events * self.event_pause(handler)):
--- a/test/soak/world.py
+++ b/test/soak/world.py
@@ -158,6 +158,8 @@
         self.directory, self.node_count, self.engine_count = directory, nodes, engines
         self.nodes, self.engines, self.services = [], [], []
         self.versions = collections.defaultdict(lambda: 1)
+        # Time, adapter and version of each announcement.
+        self.announcements = []
         self.store_disturbances = links.Disturbances()
         self.ports = free_ports(3)
         self.configurations = []
@@ -238,6 +240,7 @@
         name = f"a{number}"
         self.versions[name] += 1
         self.put_version(name, self.versions[name])
+        self.announcements.append((time.monotonic(), name, self.versions[name]))
 
     def set_store_unavailable(self, unavailable):
         """Makes the store answer 503, or serve again."""
