edge: keys of adapters are split in one place

The scheduler and the placement service each took model/adapter apart in their own way, in three places. split_adapter_key stands beside adapter_key and returns a named type.

--- a/src/lagoonsaddle/edge/placement_service.cpp
+++ b/src/lagoonsaddle/edge/placement_service.cpp
@@ -74,8 +74,8 @@
             .change_timer = asio::steady_timer{this->context.io, change_timer_expiry},
             .started_ms = this->context.upstreams.find(upstream)->entry.started_ms});
     for(const auto& [key, known] : this->announced_versions) {
-        const auto slash = key.find('/');
-        worker->scheduler.set_newest_version(key.substr(0u, slash), key.substr(slash + 1u), known.newest());
+        const auto name = split_adapter_key(key);
+        worker->scheduler.set_newest_version(name.model, name.adapter, known.newest());
     }
     this->load_workers.emplace(upstream, worker);
     core::start_service(this->context.io, "load_worker",
@@ -99,10 +99,9 @@
         if(copies.size() + known.all().size() > count_max) {
             break;
         }
-        const auto slash = key.find('/');
+        const auto name = split_adapter_key(key);
         for(const auto& announcement : known.all()) {
-            copies.push_back(
-                {.model = key.substr(0u, slash), .adapter = key.substr(slash + 1u), .version = announcement.version});
+            copies.push_back({.model = name.model, .adapter = name.adapter, .version = announcement.version});
         }
         ++copied;
     }
--- a/src/lagoonsaddle/edge/slot_scheduler.cpp
+++ b/src/lagoonsaddle/edge/slot_scheduler.cpp
@@ -6,15 +6,6 @@
 
 namespace lagoonsaddle::edge {
 
-namespace {
-
-[[nodiscard]] std::pair<std::string, std::string> split_key(std::string_view key) {
-    const auto slash = key.find('/');
-    return {std::string{key.substr(0u, slash)}, std::string{key.substr(slash + 1u)}};
-}
-
-} // namespace
-
 bool slot_scheduler::synchronize(
     const upstream_report& report, core::time_point report_requested_at, core::time_point now) {
     const bool covers_last_order =
@@ -125,7 +116,7 @@
 std::optional<slot_order> slot_scheduler::due_confirmation(core::time_point now) const {
     for(const auto& [key, entry] : this->pending_loads) {
         if(entry.confirm_at <= now) {
-            auto [model, adapter] = split_key(key);
+            auto [model, adapter] = split_adapter_key(key);
             return slot_order{.model = std::move(model),
                 .adapter = std::move(adapter),
                 .version = entry.version > 0u ? std::optional{entry.version} : std::nullopt};
@@ -234,7 +225,7 @@
         const auto announced = this->newest_versions.find(key);
         if(announced != this->newest_versions.end() && entry.version < announced->second && !entry.unloading &&
             !this->pending_loads.contains(key) && !this->is_refused(key, now)) {
-            auto [model, adapter] = split_key(key);
+            auto [model, adapter] = split_adapter_key(key);
             return slot_order{.model = std::move(model), .adapter = std::move(adapter), .version = announced->second};
         }
     }
@@ -251,7 +242,7 @@
     }
     const auto candidate = this->eviction_in_progress() ? std::nullopt : this->eviction_candidate(now);
     if(candidate && (gate == nullptr || gate->may_evict_for(key))) {
-        auto [model, adapter] = split_key(*candidate);
+        auto [model, adapter] = split_adapter_key(*candidate);
         return slot_order{.load = false, .model = std::move(model), .adapter = std::move(adapter)};
     }
     return std::nullopt;
--- a/src/lagoonsaddle/edge/upstream_table.cpp
+++ b/src/lagoonsaddle/edge/upstream_table.cpp
@@ -29,6 +29,11 @@
     return key;
 }
 
+adapter_name split_adapter_key(std::string_view key) {
+    const auto slash = key.find('/');
+    return {.model = std::string{key.substr(0u, slash)}, .adapter = std::string{key.substr(slash + 1u)}};
+}
+
 std::optional<std::uint64_t> upstream_state::adapter_version(
     std::string_view model, std::string_view adapter, core::time_point now) const {
     const auto observed = this->observations.find(adapter_key(model, adapter));
--- a/src/lagoonsaddle/edge/upstream_table.hpp
+++ b/src/lagoonsaddle/edge/upstream_table.hpp
@@ -242,6 +242,15 @@
 /*! @brief Returns the key of an adapter, `model/adapter`. */
 [[nodiscard]] std::string adapter_key(std::string_view model, std::string_view adapter);
 
+/*! @brief Adapter of a base model. */
+struct adapter_name {
+    std::string model{};
+    std::string adapter{};
+};
+
+/*! @brief Returns the adapter of a key that `adapter_key` has made. */
+[[nodiscard]] adapter_name split_adapter_key(std::string_view key);
+
 } // namespace lagoonsaddle::edge
 
 #endif
