--- a/test/platform_node/announced_version_test.py
+++ b/test/platform_node/announced_version_test.py
@@ -10,6 +10,8 @@
 import standin
 from entry_node_case import EntryNodeCase
 from relay_test import RelayEngine
+from store_views import StoreViews
+from turned_away_test import NodeStore
 
 # The rule of the platform: from then on no request may begin at an older version.
 VERSION_S = 5.0
@@ -106,34 +108,60 @@
         return 500
 
 
-class RestartedNodeTest(VersionCase):
-    """A node that starts again before engines whose adapter nobody replaces."""
+class RestartedNodeCase(VersionCase):
+    """A node that starts again before engines that hold two adapters, one of which was replaced, at version 1."""
 
     ENGINE_TYPE = FixedVersionEngine
 
-    def test_node_that_starts_does_not_use_version_replaced_before(self):
-        """A node that starts must not count the time of a replaced version from when it reads of the newer one."""
+    def replace_adapter(self, nodes):
+        """Starts nodes, announces version 2 of an adapter and waits until no node may use version 1 any more."""
         self.put_version("a0", 1)
         self.put_version("a1", 1)
-        self.start_fleet(1)
+        self.start_fleet(nodes)
         self.announce(2)
         time.sleep(VERSION_S)
-        node = self.nodes[0]
+
+    def runs_of_replaced_version(self):
+        return {request for engine in self.engines for request, adapter in engine.executed if adapter == "a0"}
+
+    def check_started_node(self, node):
+        """Starts a node again and sends requests to it: only those for the other adapter may be served."""
         node.process.kill()
         node.process.wait()
+        begun = self.runs_of_replaced_version()
         node.start()
-        begun = {request for engine in self.engines for request, adapter in engine.executed if adapter == "a0"}
         self.eventually(node.is_listening, "the node listens")
         end = time.monotonic() + SENDING_S
         served = 0
         while time.monotonic() < end:
             node.send_request(next(self.ids), "a0", deadline_ms=500)
             served += self.is_served(node, "a1")
-        begun_since = {request for engine in self.engines for request, adapter in engine.executed if adapter == "a0"}
-        self.assertEqual(set(), begun_since - begun)
+        self.assertEqual(set(), self.runs_of_replaced_version() - begun)
         self.assertGreater(served, 0)
 
 
+class RestartedNodeTest(RestartedNodeCase):
+    """The node reads the store."""
+
+    def test_node_that_starts_does_not_use_version_replaced_before(self):
+        """A node that starts must not count the time of a replaced version from when it reads of the newer one."""
+        self.replace_adapter(1)
+        self.check_started_node(self.nodes[0])
+
+
+class RestartedNodeWithoutStoreTest(StoreViews, RestartedNodeCase):
+    """The store turns the node away, so that it learns of the versions from its peer."""
+
+    VIEW_TYPE = NodeStore
+
+    def test_node_that_starts_does_not_use_version_that_a_peer_knows_to_be_replaced(self):
+        """The same where it hears of the newer version."""
+        self.replace_adapter(2)
+        self.views[1].turns_away = True
+        self.check_started_node(self.nodes[1])
+        self.assertIn("event=records_learned", self.read_log(self.nodes[1]))
+
+
 class QueueingEngine(FixedVersionEngine):
     """The same with a queue: while it is full, records when each connection in it is closed."""
 
--- a/test/platform_node/review_case_test.py
+++ b/test/platform_node/review_case_test.py
@@ -51,6 +51,12 @@
             with self.subTest(trouble=trouble):
                 self.check_holds("2", trouble)
 
+    def test_versions_in_a_row_while_lease_holders_are_frozen_end_the_time_of_older_ones(self):
+        """Guards against requests that begin at a version which was replaced longer ago than the bound."""
+        for trouble in ("1", "0"):
+            with self.subTest(trouble=trouble):
+                self.check_holds("8", trouble)
+
 
 if __name__ == "__main__":
     unittest.main()
