review: end the processes of a case however it ends

Claim: the script of case 11 leaves no node behind, also when it is told to end or is killed; the case itself is as before.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -101,12 +101,21 @@
             node.close()
 
 
+def end(*_):
+    raise SystemExit(2)
+
+
 def main():
+    signal.signal(signal.SIGTERM, end)
     with open(HERE / "record.txt", "w", encoding="utf-8") as file, tempfile.TemporaryDirectory() as folder:
         def record(line):
             file.write(line + "\n")
             file.flush()
-        status = play(folder, record)
+        try:
+            status = play(folder, record)
+        except (SystemExit, Exception) as failure:
+            record(f"not run: {failure!r}")
+            status = 2
         if os.environ.get("KEEP"):
             os.system(f"cp {folder}/*.log {os.environ['KEEP']}")
     sys.stdout.flush()
--- a/review/kit-3/standins.py
+++ b/review/kit-3/standins.py
@@ -4,6 +4,7 @@
 takes orders under fencing tokens, holds adapters in slots and streams events.
 """
 
+import ctypes
 import http.client
 import http.server
 import json
@@ -270,6 +271,12 @@
           "budgetWindowS": 10, "budgetSlack": 58, "requireFence": True, "leaseMs": 3000, "version_ms": 5000}
 
 
+def die_with_parent():
+    """Lets the system kill a node when the process that has started it ends, however it ends."""
+    pr_set_pdeathsig = 1
+    ctypes.CDLL(None).prctl(pr_set_pdeathsig, signal.SIGKILL)
+
+
 class Node:
     """An entry node process, started with the command, template and variables of deploy/system.toml."""
 
@@ -289,7 +296,7 @@
 
     def start(self):
         self.process = subprocess.Popen([ROOT / "target/bin/lagoonsaddled", "entry"], cwd=ROOT, env=self.variables,
-                                        stdout=self.log, stderr=self.log)
+                                        stdout=self.log, stderr=self.log, preexec_fn=die_with_parent)
 
     def signal(self, number):
         self.process.send_signal(number)
