edge: the placement of requests is a file of its own

The call to the lease holder, with what it decides about leaving an availability zone, moves to forwarder_placement.cpp. Nothing else changes.

--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -29,10 +29,6 @@
 constexpr unsigned sends_max_if_refusals_limited{2u};
 /*! @brief Placements of one request, including those whose adapter could not be loaded. */
 constexpr unsigned placements_max{6u};
-/*! @brief Number of first placements that fail at once, instead of waiting, when all adapter slots are in use. */
-constexpr unsigned placements_without_wait{2u};
-/*! @brief Maximum wait for the load of an adapter; the rest of the time to the deadline is left for the run. */
-constexpr milliseconds load_wait_max{1'800};
 /*! @brief Timeout when neither the caller nor the route sets one. */
 constexpr milliseconds default_timeout{30'000};
 /*! @brief Share of the remaining time after which a repeatable request without a response is sent elsewhere. */
@@ -42,16 +38,6 @@
 constexpr milliseconds limit_retry_after_min{100};
 constexpr milliseconds limit_retry_after_max{1'000};
 
-/*! @brief Returns the time in milliseconds until the caller has to have the first event, or the whole response of a
- * route without streams; nothing when the route has no objective. */
-[[nodiscard]] std::optional<std::uint64_t> time_to_objective(
-    core::time_point received_at, milliseconds objective, core::time_point now) {
-    if(objective.count() <= 0) {
-        return std::nullopt;
-    }
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(to_ms(received_at + objective - now).count(), 0));
-}
-
 /*! @brief Releases the reservation of a request at the end of an attempt. */
 class reservation_guard {
 public:
@@ -299,50 +285,6 @@
     co_return co_await this->send_request(state, *placed);
 }
 
-asio::awaitable<std::optional<placed_request>> forwarder::place_request(
-    exchange_state& state, const selection& choice, const std::set<std::string>& excluded) {
-    if(state.metadata.model.empty()) {
-        co_return placed_request{.upstream = choice.upstream};
-    }
-    const auto now = this->context.clock.now();
-    const auto remaining = to_ms(state.deadline - now);
-    const auto wait = std::min(load_wait_max, remaining * 6 / 10);
-    // A named variable, because g++ 12 destroys aggregate temporaries of a co_await expression twice.
-    wire::place_request request{.service = state.service,
-        .model = state.metadata.model,
-        .adapter = state.metadata.adapter,
-        .version_min = this->oldest_allowed_version(state),
-        .prompt_tokens = state.metadata.prompt_tokens,
-        .shared_prefix = state.metadata.shared_prefix,
-        .shared_tokens = state.metadata.shared_tokens,
-        .excluded = {excluded.begin(), excluded.end()},
-        .timeout_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(wait.count(), 1)),
-        .lifetime_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(remaining.count(), 1)),
-        // Few upstreams can go on with a stream, so that it waits for a slot at the first one.
-        .may_wait = state.placements > placements_without_wait || state.stream_version.has_value(),
-        .software_version = state.stream_version,
-        .priority = state.priority(),
-        .objective_ms = time_to_objective(state.received_at, state.matched_route->latency_objective, now),
-        .deadline_ms = static_cast<std::uint64_t>(std::max<std::int64_t>((remaining - send_margin).count(), 1)),
-        .output_tokens = state.metadata.output_tokens};
-    const auto begin = this->context.clock.now();
-    auto placed = co_await this->context.dispatch.place(std::move(request), choice);
-    const auto duration = this->context.clock.now() - begin;
-    this->log_placement(state, choice, placed, duration);
-    if(!placed) {
-        state.attempt_trace += ";load@" + placed.error().upstream + ':';
-        state.attempt_trace += core::to_string(placed.error().failure.cause);
-        state.excluded.insert(placed.error().upstream);
-        if(placed.error().unservable) {
-            state.unservable = !this->leave_zone_for_room(state, placed.error().upstream);
-        }
-        state.last_failure = std::move(placed.error().failure);
-        state.last_failure.verdict = state.verdict;
-        co_return std::nullopt;
-    }
-    co_return std::move(*placed);
-}
-
 asio::awaitable<forwarder::attempt_result> forwarder::send_request(
     exchange_state& state, const placed_request& placed) {
     const auto& upstream = placed.upstream;
--- a/src/lagoonsaddle/edge/forwarder_admission.cpp
+++ b/src/lagoonsaddle/edge/forwarder_admission.cpp
@@ -17,8 +17,6 @@
 
 /*! @brief Retry-After time while the configuration is not confirmed, which peers are asked for at shorter intervals. */
 constexpr std::chrono::milliseconds retry_after_unconfirmed{500};
-/*! @brief Delay of new loads in milliseconds below which an availability zone has room for further ones. */
-constexpr double load_wait_min_ms{20.0};
 
 [[nodiscard]] core::error quarantined_request_error() {
     return core::error{.cause = core::reason::quarantined,
@@ -71,30 +69,6 @@
     return to_error(this->context.prompt_parts.review(state.metadata.shared_parts));
 }
 
-bool forwarder::leave_zone_for_room(exchange_state& state, const std::string& upstream) const {
-    const auto* known = this->context.upstreams.find(upstream);
-    if(known == nullptr || std::exchange(state.has_left_zone, true)) {
-        return false;
-    }
-    const auto now = this->context.clock.now();
-    const auto& zone = known->entry.availability_zone;
-    std::set<std::string> delayed{};
-    bool has_room{false};
-    for(const auto* other : this->context.upstreams.accepting_requests(state.service)) {
-        const auto& other_zone = other->entry.availability_zone;
-        if(other_zone == zone) {
-            delayed.insert(other->entry.id);
-        } else {
-            has_room = has_room || (this->context.placement.zone_can_load(other_zone) &&
-                                       this->context.dispatch.zone_load_wait_ms(other_zone, now) < load_wait_min_ms);
-        }
-    }
-    if(has_room) {
-        state.excluded.merge(delayed);
-    }
-    return has_room;
-}
-
 std::optional<core::error> forwarder::match_route(exchange_state& state) const {
     const auto known = this->context.configuration.state();
     if(!state.config || known == configuration_state::unknown) {
