edge: a stopping node refuses requests that wait before their first send

No engine had seen them.

Cause: whether a request may outlast the process was decided once, when it arrived. Later nothing looked at the end of the process: up to six placements wait 1.8 s each, and longer while a load advances, and no wait of a request could be ended.

Change: `stop_schedule` says until when a request may be sent, from its deadline, the exit and whether it may have run. The forwarder asks it on arrival, before each attempt, and during each wait that precedes a send: quota, origin of a stream, lease holder, slot, load; also while it checks its path after a failed attempt. `interruptible_waits` ends such a wait, and releases the result of an operation that ends later; the lease holder is told that the request is withdrawn. A request that has not run gets 503 with not_run at the limit, one that may have run gets its failure before the exit. A request whose deadline is before the exit keeps its time.

The store of the forwarder's fixture, a second stub of the same interface, is the one of the placement tests now.

--- a/src/lagoonsaddle/edge/dispatch_service.cpp
+++ b/src/lagoonsaddle/edge/dispatch_service.cpp
@@ -54,6 +54,26 @@
     return begin + milliseconds{std::min(*stated_ms, static_cast<std::uint64_t>(stated_time_max.count()))};
 }
 
+/*! @brief Lists a call to a lease holder until it ends, also with an exception. */
+class call_in_progress {
+public:
+    call_in_progress(std::map<std::uint64_t, std::string>& list, std::uint64_t of_request, const std::string& holder)
+        : calls{list}, ticket{of_request} {
+        this->calls.emplace(this->ticket, holder);
+    }
+
+    call_in_progress(const call_in_progress&) = delete;
+    call_in_progress& operator=(const call_in_progress&) = delete;
+
+    ~call_in_progress() {
+        this->calls.erase(this->ticket);
+    }
+
+private:
+    std::map<std::uint64_t, std::string>& calls;
+    std::uint64_t ticket;
+};
+
 } // namespace
 
 dispatch_service::dispatch_service(dispatch_context uses, std::string name)
@@ -151,8 +171,7 @@
     }
 }
 
-asio::awaitable<tl::expected<placed_request, placement_failure>> dispatch_service::place(
-    wire::place_request request, const selection& local_choice) {
+asio::awaitable<placement_result> dispatch_service::place(wire::place_request request, selection local_choice) {
     const auto* known = this->context.upstreams.find(local_choice.upstream);
     const auto zone = known == nullptr ? std::string{} : known->entry.availability_zone;
     const auto holder = this->context.placement.lease_holder(zone);
@@ -162,7 +181,7 @@
         .upstream = local_choice.upstream};
     if(holder && this->zones[zone].skip_holder_until <= this->context.clock.now()) {
         request.zone = zone;
-        request.ticket = ++this->last_ticket;
+        const call_in_progress call{this->calls_in_progress, request.ticket, *holder};
         const auto reply = co_await this->call_holder(*holder, request, local_choice.resident);
         if(reply && !reply->failure) {
             this->record_placement(zone, request, *reply);
@@ -196,6 +215,12 @@
     co_return tl::make_unexpected(std::move(failed));
 }
 
+void dispatch_service::withdraw(std::uint64_t ticket) {
+    if(const auto found = this->calls_in_progress.find(ticket); found != this->calls_in_progress.end()) {
+        this->record_end(placed_request{.holder = found->second, .ticket = ticket});
+    }
+}
+
 std::optional<selection> dispatch_service::reserve(
     const reservation_table::key_type& key, const wire::place_request& request, const std::set<std::string>& excluded) {
     const auto now = this->context.clock.now();
--- a/src/lagoonsaddle/edge/dispatch_service.hpp
+++ b/src/lagoonsaddle/edge/dispatch_service.hpp
@@ -52,6 +52,8 @@
     bool unservable{};
 };
 
+using placement_result = tl::expected<placed_request, placement_failure>;
+
 /**
  * @brief Assigns requests for models to upstreams through the node that holds the lease of the availability zone.
  *
@@ -67,14 +69,21 @@
     /*! @brief Starts the periodic maintenance of the reservations. */
     void start();
 
+    /*! @brief Returns a ticket that no other request of this node has. */
+    [[nodiscard]] std::uint64_t next_ticket() noexcept {
+        return ++this->last_ticket;
+    }
+
     /**
      * @brief Places a request of this node.
-     * @param request The request; `zone` and `ticket` are set by this function.
+     * @param request The request with its ticket; `zone` is set by this function.
      * @param local_choice Upstream chosen by this node, whose availability zone is used.
      * @return The placement, or the reason why the request was not sent.
      */
-    [[nodiscard]] boost::asio::awaitable<tl::expected<placed_request, placement_failure>> place(
-        wire::place_request request, const selection& local_choice);
+    [[nodiscard]] boost::asio::awaitable<placement_result> place(wire::place_request request, selection local_choice);
+
+    /*! @brief Tells the lease holder that a request, whose placement has not ended yet, is no longer wanted. */
+    void withdraw(std::uint64_t ticket);
 
     /*! @brief Called with the upstream when a request has to wait for the load of its adapter. */
     using pending_callback = std::function<void(const std::string& upstream)>;
@@ -158,6 +167,8 @@
     dispatch_context context;
     std::string node_name;
     std::uint64_t last_ticket{};
+    /*! @brief Lease holders that are placing requests of this node, by ticket. */
+    std::map<std::uint64_t, std::string> calls_in_progress{};
     reservation_table reservations{};
     /*! @brief Selectors by availability zone, for the zones whose lease this node holds or has held. */
     std::map<std::string, upstream_selector, std::less<>> selectors{};
--- a/src/lagoonsaddle/edge/entry_node_stop.cpp
+++ b/src/lagoonsaddle/edge/entry_node_stop.cpp
@@ -40,7 +40,8 @@
         this->release_leases();
     }
     const auto limit = this->settings.stop_timeout - exit_margin;
-    this->request_forwarder.begin_stop(begin + long_request_refusal_delay, begin + limit);
+    const stop_schedule schedule{.refuse_at = begin + long_request_refusal_delay, .exit_at = begin + limit};
+    this->request_forwarder.begin_stop(schedule);
     while(true) {
         const auto elapsed = this->context.clock.now() - begin;
         if((elapsed >= traffic_drain_time && this->is_idle()) || elapsed >= limit) {
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -116,10 +116,6 @@
 
 forwarder::~forwarder() = default;
 
-void forwarder::begin_stop(core::time_point refuse_at, core::time_point exit_at) noexcept {
-    this->stopping = stop_schedule{.refuse_at = refuse_at, .exit_at = exit_at};
-}
-
 std::size_t forwarder::live_node_count() const {
     const auto members = this->context.membership.members();
     const auto count = std::ranges::count_if(*members, &fleet::member::is_live);
@@ -176,15 +172,14 @@
         limit = std::min(limit, *state.metadata.deadline);
     }
     state.deadline = state.received_at + limit;
-    if(this->stopping && state.received_at >= this->stopping->refuse_at && state.deadline > this->stopping->exit_at) {
-        core::error failure{
-            .cause = core::reason::draining, .message = "the node is stopping", .retry_after = milliseconds{0}};
-        co_await this->refuse(state, 503u, std::move(failure));
+    if(this->is_past_send_limit(state)) {
+        co_await this->refuse(state, 503u, this->past_send_limit_error(state));
         co_return;
     }
     if(state.sender != nullptr && state.sender->quota.is_limited()) {
         if(auto failure = co_await this->charge_quota(state)) {
-            co_await this->refuse(state, 429u, std::move(*failure));
+            const auto status = failure->cause == core::reason::rate_limited ? 429u : 503u;
+            co_await this->refuse(state, status, std::move(*failure));
             co_return;
         }
     }
@@ -229,6 +224,10 @@
             .cause = core::reason::deadline_exceeded, .verdict = state.verdict, .message = "the deadline has passed"};
         co_return attempt_result::fail;
     }
+    if(this->is_past_send_limit(state)) {
+        state.last_failure = this->past_send_limit_error(state);
+        co_return attempt_result::fail;
+    }
     if(++state.placements > placements_max) {
         co_return attempt_result::fail;
     }
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -20,12 +20,14 @@
 #include <lagoonsaddle/edge/crash_verifier.hpp>
 #include <lagoonsaddle/edge/decision_log.hpp>
 #include <lagoonsaddle/edge/dispatch_service.hpp>
+#include <lagoonsaddle/edge/interruptible_waits.hpp>
 #include <lagoonsaddle/edge/placement_service.hpp>
 #include <lagoonsaddle/edge/prompt_part_guard.hpp>
 #include <lagoonsaddle/edge/protocol.hpp>
 #include <lagoonsaddle/edge/quota_service.hpp>
 #include <lagoonsaddle/edge/retry_budget.hpp>
 #include <lagoonsaddle/edge/route_table.hpp>
+#include <lagoonsaddle/edge/stop_schedule.hpp>
 #include <lagoonsaddle/edge/stream_origin_service.hpp>
 #include <lagoonsaddle/edge/tenant_directory.hpp>
 #include <lagoonsaddle/edge/upstream_limits.hpp>
@@ -96,12 +98,8 @@
     [[nodiscard]] http::response make_rejection(
         const http::request& message, unsigned status, const core::error& failure) override;
 
-    /**
-     * @brief Prepares for the stop of the process.
-     * @param refuse_at From this time on, requests whose deadline is after `exit_at` are refused.
-     * @param exit_at Latest time at which the process exits.
-     */
-    void begin_stop(core::time_point refuse_at, core::time_point exit_at) noexcept;
+    /*! @brief Prepares for the stop of the process: answers each request before it exits. */
+    void begin_stop(const stop_schedule& schedule);
 
     /*! @brief Returns the number of requests that were refused since their key was not known to be valid still. */
     [[nodiscard]] std::uint64_t unconfirmed_refusals() const noexcept {
@@ -125,6 +123,14 @@
     [[nodiscard]] boost::asio::awaitable<std::optional<core::error>> charge_quota(exchange_state& state);
     /*! @brief Returns the units of a request that has ended without having been sent to any upstream. */
     void credit_quota(const exchange_state& state);
+    /*! @brief Returns whether a request has to be answered instead of being sent, as the process stops. */
+    [[nodiscard]] bool is_past_send_limit(const exchange_state& state) const;
+    /*! @brief Returns the answer to a request that is past its send limit. */
+    [[nodiscard]] core::error past_send_limit_error(const exchange_state& state) const;
+    /*! @brief Waits for an operation, as `interruptible_waits` does, until the send limit of a request. */
+    template<typename Type>
+    [[nodiscard]] boost::asio::awaitable<std::optional<Type>> wait_until_send_limit(
+        const exchange_state& state, boost::asio::awaitable<Type> operation, std::function<void(Type)> release = {});
     [[nodiscard]] boost::asio::awaitable<attempt_result> attempt(exchange_state& state);
     /*! @brief Chooses an upstream; for a request for a model, through the lease holder of the availability zone. */
     [[nodiscard]] boost::asio::awaitable<std::optional<placed_request>> place_request(
@@ -222,8 +228,8 @@
     [[nodiscard]] std::size_t live_node_count() const;
     /*! @brief Applies what an upstream states about itself in a response. */
     void observe_upstream(const exchange_state& state, const std::string& upstream, const response_metadata& head);
-    void log_placement(const exchange_state& state, const selection& choice,
-        const tl::expected<placed_request, placement_failure>& placed, core::duration duration);
+    void log_placement(
+        const exchange_state& state, const selection& choice, const placement_result& placed, core::duration duration);
     void log_send(const exchange_state& state, const std::string& upstream);
     void log_attempt(const exchange_state& state, const std::string& upstream, std::string_view result,
         core::verdict verdict, std::string_view message);
@@ -234,14 +240,20 @@
     tenant_directory tenants{};
     std::uint64_t unconfirmed_count{};
 
-    struct stop_schedule {
-        core::time_point refuse_at{};
-        core::time_point exit_at{};
-    };
-
     std::optional<stop_schedule> stopping{};
+    /*! @brief Waits of requests that no upstream is at work on. */
+    interruptible_waits waits{};
 };
 
+template<typename Type>
+boost::asio::awaitable<std::optional<Type>> forwarder::wait_until_send_limit(
+    const exchange_state& state, boost::asio::awaitable<Type> operation, std::function<void(Type)> release) {
+    interruptible_waits::condition has_to_end = [this, &state] {
+        return this->is_past_send_limit(state);
+    };
+    co_return co_await this->waits.wait(std::move(operation), std::move(has_to_end), std::move(release));
+}
+
 } // namespace lagoonsaddle::edge
 
 #endif
--- a/src/lagoonsaddle/edge/forwarder_admission.cpp
+++ b/src/lagoonsaddle/edge/forwarder_admission.cpp
@@ -43,6 +43,12 @@
                : static_cast<double>(quota.default_tokens);
 }
 
+/*! @brief Charges a tenant for a request; keeps the configuration that the tenant belongs to. */
+[[nodiscard]] asio::awaitable<core::result<quota_charge>> admit_to_quota(quota_service& quotas,
+    [[maybe_unused]] route_table::configuration_type config, const tenant& owner, double units, unsigned priority) {
+    co_return co_await quotas.admit(owner, units, priority);
+}
+
 } // namespace
 
 bool forwarder::is_quarantined(const exchange_state& state) const {
@@ -133,11 +139,21 @@
     if(units <= 0.0) {
         co_return std::nullopt;
     }
-    auto charged = co_await this->context.quotas.admit(*state.sender, units, state.priority());
+    auto admission = admit_to_quota(this->context.quotas, state.config, *state.sender, units, state.priority());
+    std::function<void(core::result<quota_charge>)> release = [quotas = &this->context.quotas](
+                                                                  const core::result<quota_charge>& late) {
+        if(late) {
+            quotas->credit(*late);
+        }
+    };
+    auto charged = co_await this->wait_until_send_limit(state, std::move(admission), std::move(release));
     if(!charged) {
-        co_return std::move(charged.error());
+        co_return this->past_send_limit_error(state);
+    }
+    if(!*charged) {
+        co_return std::move(charged->error());
     }
-    state.charge = std::move(*charged);
+    state.charge = std::move(**charged);
     co_return std::nullopt;
 }
 
--- a/src/lagoonsaddle/edge/forwarder_log.cpp
+++ b/src/lagoonsaddle/edge/forwarder_log.cpp
@@ -31,8 +31,8 @@
 
 } // namespace
 
-void forwarder::log_placement(const exchange_state& state, const selection& choice,
-    const tl::expected<placed_request, placement_failure>& placed, core::duration duration) {
+void forwarder::log_placement(
+    const exchange_state& state, const selection& choice, const placement_result& placed, core::duration duration) {
     log_line line{placed ? "placed" : "load"};
     line.add("id", state.metadata.id)
         .add("upstream", placed ? placed->upstream : placed.error().upstream)
--- a/src/lagoonsaddle/edge/forwarder_paths.cpp
+++ b/src/lagoonsaddle/edge/forwarder_paths.cpp
@@ -127,7 +127,14 @@
         co_return;
     }
     auto suspect = upstream;
-    state.path_lost = !co_await this->context.paths.reaches_upstreams(std::move(suspect));
+    auto check = this->context.paths.reaches_upstreams(std::move(suspect));
+    // The attempt may have run the request already, although that is recorded only after this.
+    interruptible_waits::condition has_to_end = [this, &state] {
+        return this->stopping && this->context.clock.now() >= this->stopping->send_limit(state.deadline, true);
+    };
+    const auto reached = co_await this->waits.wait(std::move(check), std::move(has_to_end));
+    // A path that could not be checked is no evidence against the upstream.
+    state.path_lost = !reached.value_or(false);
 }
 
 } // namespace lagoonsaddle::edge
--- a/src/lagoonsaddle/edge/forwarder_placement.cpp
+++ b/src/lagoonsaddle/edge/forwarder_placement.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -46,8 +47,10 @@
     const auto now = this->context.clock.now();
     const auto remaining = to_ms(state.deadline - now);
     const auto wait = std::min(load_wait_max, remaining * 6 / 10);
-    // A named variable, because g++ 12 destroys aggregate temporaries of a co_await expression twice.
-    wire::place_request request{.service = state.service,
+    const auto ticket = this->context.dispatch.next_ticket();
+    // Named variables, because g++ 12 destroys aggregate temporaries of a co_await expression twice.
+    wire::place_request request{.ticket = ticket,
+        .service = state.service,
         .model = state.metadata.model,
         .adapter = state.metadata.adapter,
         .version_min = this->oldest_allowed_version(state),
@@ -65,8 +68,21 @@
         .deadline_ms = static_cast<std::uint64_t>(std::max<std::int64_t>((remaining - send_margin).count(), 1)),
         .output_tokens = state.metadata.output_tokens};
     const auto begin = this->context.clock.now();
-    auto placed = co_await this->context.dispatch.place(std::move(request), choice);
+    auto local_choice = choice;
+    auto placement = this->context.dispatch.place(std::move(request), std::move(local_choice));
+    std::function<void(placement_result)> release = [dispatch = &this->context.dispatch](const placement_result& late) {
+        if(late) {
+            dispatch->record_end(*late);
+        }
+    };
+    auto waited = co_await this->wait_until_send_limit(state, std::move(placement), std::move(release));
     const auto duration = this->context.clock.now() - begin;
+    if(!waited) {
+        this->context.dispatch.withdraw(ticket);
+        state.attempt_trace += ";load@" + choice.upstream + ":withdrawn";
+        co_return std::nullopt;
+    }
+    auto& placed = *waited;
     this->log_placement(state, choice, placed, duration);
     if(!placed) {
         state.attempt_trace += ";load@" + placed.error().upstream + ':';
--- a/src/lagoonsaddle/edge/forwarder_streams.cpp
+++ b/src/lagoonsaddle/edge/forwarder_streams.cpp
@@ -74,7 +74,12 @@
 asio::awaitable<std::optional<core::error>> forwarder::bind_to_origin(exchange_state& state) {
     auto request = state.metadata.resumed_request;
     auto service = state.service;
-    const auto origin = co_await this->context.origins.resolve(std::move(request), std::move(service));
+    auto resolution = this->context.origins.resolve(std::move(request), std::move(service));
+    const auto resolved = co_await this->wait_until_send_limit(state, std::move(resolution));
+    if(!resolved) {
+        co_return this->past_send_limit_error(state);
+    }
+    const auto& origin = *resolved;
     if(!origin) {
         co_return unknown_version_error(state);
     }
--- a/test/edge/forwarder_fixture.hpp
+++ b/test/edge/forwarder_fixture.hpp
@@ -25,7 +25,9 @@
 #include <boost/asio/use_future.hpp>
 #include <doctest/doctest.h>
 
+#include "placement_fixture.hpp"
 #include <lagoonsaddle/edge/forwarder.hpp>
+#include <lagoonsaddle/edge/sleep.hpp>
 #include <lagoonsaddle/http/json.hpp>
 #include <lagoonsaddle/wire/codec.hpp>
 #include <lagoonsaddle/wire/messages.hpp>
@@ -166,34 +168,6 @@
     std::shared_ptr<std::promise<void>> caller_disconnected{std::make_shared<std::promise<void>>()};
 };
 
-class unused_store final : public record_store {
-public:
-    boost::asio::awaitable<core::result<record_page>> list(record_kind) override {
-        co_return core::fail(core::reason::unavailable, "not used");
-    }
-
-    boost::asio::awaitable<core::result<record_page>> watch(
-        record_kind, std::uint64_t, std::chrono::milliseconds, freshness) override {
-        co_return core::fail(core::reason::unavailable, "not used");
-    }
-
-    boost::asio::awaitable<core::result<stored_lease>> read_lease(std::string) override {
-        co_return core::fail(core::reason::unavailable, "not used");
-    }
-
-    boost::asio::awaitable<core::result<stored_lease>> write_lease(lease_record, std::uint64_t) override {
-        co_return core::fail(core::reason::unavailable, "not used");
-    }
-
-    boost::asio::awaitable<core::result<std::uint64_t>> write_streams(stream_record, std::uint64_t) override {
-        co_return core::fail(core::reason::unavailable, "not used");
-    }
-
-    [[nodiscard]] std::uint64_t epoch() const noexcept override {
-        return 0u;
-    }
-};
-
 class unused_control final : public upstream_control {
 public:
     boost::asio::awaitable<core::result<order_outcome>> send_order(upstream_order) override {
@@ -428,7 +402,7 @@
 
     plain_format format{};
     recording_log log{};
-    unused_store store{};
+    in_memory_lease_store store{};
     unused_control control{};
     route_table routes{};
     upstream_table upstreams{};
@@ -448,9 +422,18 @@
     stream_archive archive{{.node_name = "n"}};
     /*! @brief What the store answers when it is asked for upstreams that the node has not seen yet. */
     core::result<record_page> unseen_upstreams{record_page{}};
+    /*! @brief While this holds, the store does not answer that question. */
+    bool unseen_hangs{false};
+    std::size_t unseen_reads{};
     std::shared_ptr<unseen_versions> unseen{std::make_shared<unseen_versions>(
         node_context, clock,
-        [this]() -> boost::asio::awaitable<core::result<record_page>> { co_return this->unseen_upstreams; },
+        [this]() -> boost::asio::awaitable<core::result<record_page>> {
+            ++this->unseen_reads;
+            while(this->unseen_hangs) {
+                co_await sleep_for(std::chrono::milliseconds{1});
+            }
+            co_return this->unseen_upstreams;
+        },
         unseen_versions_options{.read_interval = std::chrono::milliseconds{0}})};
     stream_origin_service origins{stream_origin_context{.io = node_context,
                                       .clock = clock,
@@ -483,7 +466,7 @@
                                                 .membership = *membership,
                                                 .partitions = partitions,
                                                 .unanswered = unanswered},
-            placement_options{.node_name = "n"})};
+            placement_options{.node_name = "n", .availability_zone = "z", .boot_id = 1u})};
     std::shared_ptr<dispatch_service> dispatch{std::make_shared<dispatch_service>(
         dispatch_context{
             .io = node_context, .clock = clock, .upstreams = upstreams, .placement = *placement, .peers = peers},
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -361,7 +361,10 @@
 
 // Guards against accepting requests that may not finish before the process stops.
 TEST_CASE_FIXTURE(forwarder_fixture, "handle_shortly_before_exit_refuses_only_long_requests") {
-    this->run_on_node([this] { this->request_forwarder.begin_stop(this->clock.now(), this->clock.now() + 2s); });
+    this->run_on_node([this] {
+        const auto now = this->clock.now();
+        this->request_forwarder.begin_stop({.refuse_at = now, .exit_at = now + 2s});
+    });
     CHECK(this->send_to_route("once")->status == 503u);
     auto short_request = this->make_request("once");
     short_request.headers.set("deadline", "500");
--- a/test/platform_node/planned_stop_test.py
+++ b/test/platform_node/planned_stop_test.py
@@ -362,5 +362,82 @@
         self.assertGreater(len(self.stop_under_load(self.nodes[0], BEFORE_STOP_S)), 0)
 
 
+class OneAdapterEngine(standin.Engine):
+    """An engine with a place for one adapter."""
+
+    def __init__(self, store, name, zone):
+        super().__init__(store, name, zone, slots=1)
+
+
+class WaitingRequestsStopTest(EntryNodeCase):
+    """All nodes but the lease holder are terminated while requests wait for adapter slots that are in use until later."""
+
+    ENGINE_TYPE = OneAdapterEngine
+    # As many as placements are tried: with fewer, a request is refused before its node ends.
+    ENGINE_COUNT = 8
+    EVENT_INTERVAL_S = 4.0
+    KINDS = {"once": {"kind": "streaming"}, "resumable": {"kind": "streaming", "resumable": True},
+             "safe": {"kind": "safe"}, "unsafe": {"kind": "unsafe"}}
+    CONFIGURATION = {
+        "version": 1,
+        "routes": [{**CONFIGURATION["routes"][0], "name": name, "pathPrefix": f"/{name}/", "maxAttempts": 2, **kind}
+                   for name, kind in KINDS.items()] + CONFIGURATION["routes"],
+        "services": [{"name": "llm", "maxConnections": 64, "engine": {
+            "adapterSlots": 1, "loadsPerS": 2, "models": [{"name": "m", "loadS": 1}]}}]}
+    # Time after the signal at which requests are sent, and their deadlines.
+    SENT_AT_S = (-0.6, 0.05, 1.0, 2.0, 2.25, 2.6)
+    DEADLINES_MS = (15_000, 8_200, 3_000)
+
+    def busy_engines(self):
+        """Returns the number of engines that run a stream of `use_all_slots`."""
+        return sum(any(adapter.startswith("busy") for _, adapter in engine.executed) for engine in self.engines)
+
+    def use_all_slots(self, node):
+        """Runs a stream at each engine, through a node, that lasts longer than a stopping node."""
+        for engine in self.engines:
+            engine.event_interval_s = self.EVENT_INTERVAL_S
+        streams = []
+        while (busy := self.busy_engines()) < self.ENGINE_COUNT:
+            streams.append(threading.Thread(target=self.call, args=(node, "a", f"busy{len(streams)}", 20_000, 0.0, {})))
+            streams[-1].start()
+            # It may be refused, as an engine keeps the adapter that it has served last for a moment.
+            self.eventually(lambda: self.busy_engines() > busy or not streams[-1].is_alive(), "a stream runs or is refused")
+        return streams
+
+    def call(self, node, path, adapter, deadline_ms, at, results):
+        """Sends a request at a time; records its status, 0 when its connection ends without a whole answer."""
+        time.sleep(max(0.0, at - time.monotonic()))
+        request_id = next(self.ids)
+        results[request_id] = 0
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            status, body = node.send_request(request_id, adapter, path=f"/{path}/1", deadline_ms=deadline_ms)
+            results[request_id] = status if body is not None else 0
+
+    def test_request_that_waits_for_an_adapter_slot_is_refused_before_the_end(self):
+        """A request that its node has not sent to any engine must not be cut off when the process ends."""
+        self.start_fleet(3)
+        holder = next(node for node in self.nodes if "event=lease_acquired zone=z" in self.read_log(node))
+        stopped = [node for node in self.nodes if node is not holder]
+        streams = self.use_all_slots(holder)
+        results, begin = {}, time.monotonic() + 1.0
+        forms = itertools.product(stopped, self.KINDS, self.DEADLINES_MS, self.SENT_AT_S)
+        callers = [threading.Thread(target=self.call, args=(node, path, f"cold{number}", deadline_ms, begin + at_s, results))
+                   for number, (node, path, deadline_ms, at_s) in enumerate(forms)]
+        for caller in callers:
+            caller.start()
+        time.sleep(begin - time.monotonic())
+        # Further signals must not end a stop early or begin it anew.
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            for node in stopped:
+                node.process.send_signal(number)
+            time.sleep(0.3)
+        for caller in [*callers, *streams]:
+            caller.join()
+        self.assertEqual([0] * len(stopped), [node.process.wait(CONDITION_TIMEOUT_S) for node in stopped])
+        executed = {request_id for engine in self.engines for request_id, _ in engine.executed}
+        self.assertEqual({503}, set(results.values()), results)
+        self.assertEqual(set(), executed & set(results))
+
+
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
--- a/test/platform_node/review_case_test.py
+++ b/test/platform_node/review_case_test.py
@@ -57,6 +57,12 @@
             with self.subTest(trouble=trouble):
                 self.check_holds("8", trouble)
 
+    def test_requests_that_wait_for_an_adapter_slot_at_a_stop_are_answered(self):
+        """Guards against a node that ends while requests wait in it, and leaves them without an answer."""
+        for trouble in ("1", "0"):
+            with self.subTest(trouble=trouble):
+                self.check_holds("11", trouble)
+
 
 if __name__ == "__main__":
     unittest.main()
