edge: requests that upstreams have not answered get an answer before the exit

The requests get 502 or 504 with may_have_run. A stream that has begun goes on to the end, as only its node can pass on the rest.

Tests: UnansweredRequestStopTest and handle_exit_answers_request_without_response_as_possibly_run.

--- a/src/lagoonsaddle/edge/entry_node_stop.cpp
+++ b/src/lagoonsaddle/edge/entry_node_stop.cpp
@@ -43,10 +43,13 @@
     const stop_schedule schedule{.refuse_at = begin + long_request_refusal_delay, .exit_at = begin + limit};
     this->request_forwarder.begin_stop(schedule);
     while(true) {
-        const auto elapsed = this->context.clock.now() - begin;
-        if((elapsed >= traffic_drain_time && this->is_idle()) || elapsed >= limit) {
+        const auto now = this->context.clock.now();
+        if((now - begin >= traffic_drain_time && this->is_idle()) || now >= schedule.exit_at) {
             break;
         }
+        if(now >= schedule.answer_at()) {
+            this->request_forwarder.end_unanswered_attempts();
+        }
         co_await sleep_for(stop_poll_interval);
     }
     // Until the exit, no request may be read any more: it would be sent to an upstream and then be cut off.
--- a/src/lagoonsaddle/edge/forwarder.cpp
+++ b/src/lagoonsaddle/edge/forwarder.cpp
@@ -110,6 +110,26 @@
     std::uint64_t count;
 };
 
+/*! @brief Lists an exchange until its handler ends, also with an exception. */
+template<typename Exchange>
+class listed_exchange {
+public:
+    listed_exchange(std::set<Exchange*>& list, Exchange& listed) : exchanges{list}, exchange{&listed} {
+        this->exchanges.insert(this->exchange);
+    }
+
+    listed_exchange(const listed_exchange&) = delete;
+    listed_exchange& operator=(const listed_exchange&) = delete;
+
+    ~listed_exchange() {
+        this->exchanges.erase(this->exchange);
+    }
+
+private:
+    std::set<Exchange*>& exchanges;
+    Exchange* exchange;
+};
+
 } // namespace
 
 forwarder::forwarder(forwarder_context uses) : context{uses} {}
@@ -124,6 +144,7 @@
 
 asio::awaitable<void> forwarder::handle(http::request message, http::response_writer& writer) {
     exchange_state state{std::move(message), writer, this->context.clock.now()};
+    const listed_exchange listed{this->exchanges, state};
     const auto state_pointer = std::make_shared<exchange_state*>(&state);
     writer.on_disconnect([state_pointer] {
         if(auto* exchange = *state_pointer) {
--- a/src/lagoonsaddle/edge/forwarder.hpp
+++ b/src/lagoonsaddle/edge/forwarder.hpp
@@ -101,6 +101,9 @@
     /*! @brief Prepares for the stop of the process: answers each request before it exits. */
     void begin_stop(const stop_schedule& schedule);
 
+    /*! @brief Ends the attempts of requests whose callers have received nothing yet, so that they get an answer. */
+    void end_unanswered_attempts();
+
     /*! @brief Returns the number of requests that were refused since their key was not known to be valid still. */
     [[nodiscard]] std::uint64_t unconfirmed_refusals() const noexcept {
         return this->unconfirmed_count;
@@ -241,6 +244,7 @@
     std::uint64_t unconfirmed_count{};
 
     std::optional<stop_schedule> stopping{};
+    std::set<exchange_state*> exchanges{};
     /*! @brief Waits of requests that no upstream is at work on. */
     interruptible_waits waits{};
 };
--- a/src/lagoonsaddle/edge/forwarder_stop.cpp
+++ b/src/lagoonsaddle/edge/forwarder_stop.cpp
@@ -1,5 +1,7 @@
 // Ends the waits of requests when the process stops.
 #include <chrono>
+#include <memory>
+#include <vector>
 
 #include <lagoonsaddle/edge/internal_exchange.hpp>
 
@@ -12,6 +14,19 @@
     this->waits.begin_interruptions();
 }
 
+void forwarder::end_unanswered_attempts() {
+    // The cancellation may end an exchange, and so change the list.
+    std::vector<std::shared_ptr<http::exchange_control>> unanswered{};
+    for(const auto* exchange : this->exchanges) {
+        if(exchange->control && !exchange->head_sent) {
+            unanswered.push_back(exchange->control);
+        }
+    }
+    for(const auto& control : unanswered) {
+        control->cancel();
+    }
+}
+
 bool forwarder::is_past_send_limit(const exchange_state& state) const {
     if(!this->stopping) {
         return false;
--- a/src/lagoonsaddle/edge/stop_schedule.hpp
+++ b/src/lagoonsaddle/edge/stop_schedule.hpp
@@ -12,6 +12,9 @@
     /*! @brief Latest time at which the process exits. */
     core::time_point exit_at{};
 
+    /*! @brief Returns the time at which requests get the last answers that can be written before the process exits. */
+    [[nodiscard]] core::time_point answer_at() const noexcept;
+
     /**
      * @brief Returns from when on a request has to be answered instead of being sent to an upstream.
      * @param deadline Deadline of the request.
--- a/test/edge/forwarder_stop_test.cpp
+++ b/test/edge/forwarder_stop_test.cpp
@@ -132,4 +132,29 @@
     }
 }
 
+// Guards against requests that upstreams have not answered when the process ends, and that get no answer either.
+TEST_CASE("handle_exit_answers_request_without_response_as_possibly_run") {
+    for(const auto* route : {"safe", "once", "stream", "resumable"}) {
+        CAPTURE(route);
+        forwarder_fixture node{};
+        node.upstream.script = {"silent"};
+        auto answer = boost::asio::co_spawn(
+            node.caller_context, node.send_async(node.make_request(route)), boost::asio::use_future);
+        bool sent{false};
+        while(!sent) {
+            const std::lock_guard lock{node.upstream.mutex};
+            sent = !node.upstream.received.empty();
+        }
+        node.run_on_node([&node] {
+            const auto now = node.clock.now();
+            node.request_forwarder.begin_stop({.refuse_at = now, .exit_at = now});
+            node.request_forwarder.end_unanswered_attempts();
+        });
+        const auto response = answer.get();
+        REQUIRE(response.has_value());
+        CHECK((response->status == 502u || response->status == 504u));
+        CHECK(response->body.find("may_have_run") != std::string::npos);
+    }
+}
+
 } // namespace lagoonsaddle::edge
--- a/test/platform_node/planned_stop_test.py
+++ b/test/platform_node/planned_stop_test.py
@@ -439,5 +439,35 @@
         self.assertEqual(set(), executed & set(results))
 
 
+class SilentEngine(standin.Engine):
+    """An engine that holds requests for an adapter of its own without an answer."""
+
+    def send_stream(self, handler, adapter):
+        if adapter == "held":
+            time.sleep(GRACE_S + IN_USE_S)
+            handler.close_connection = True
+            return
+        super().send_stream(handler, adapter)
+
+
+class UnansweredRequestStopTest(EntryNodeCase):
+    """A node is terminated while an engine has not begun to answer."""
+
+    ENGINE_TYPE = SilentEngine
+
+    def test_request_that_its_engine_has_not_answered_gets_an_answer_before_the_end(self):
+        """A request that waits at its engine must be told that it may have run, rather than be cut off."""
+        self.start_fleet(1)
+        answers = []
+        caller = threading.Thread(target=lambda: answers.append(self.nodes[0].send_request(next(self.ids), "held")))
+        caller.start()
+        self.eventually(lambda: any(adapter == "held" for engine in self.engines for _, adapter in engine.executed),
+                        "the engine has the request")
+        self.nodes[0].process.send_signal(signal.SIGTERM)
+        caller.join()
+        self.assertEqual([504], [status for status, _ in answers])
+        self.assertEqual(0, self.nodes[0].process.wait(CONDITION_TIMEOUT_S))
+
+
 if __name__ == "__main__":
     unittest.main(warnings="ignore")
