test: no port of a test's nodes is one that the nodes choose for themselves

Cause: nodes take the two ports after the one for peers for metrics and relayed connections, and the next free one when callers have one of them. The tests take three ports of the system's choice, so that the port for callers may be the second after the one for peers; the test then checks the wrong port by the relay's bound.

Change: the ports are drawn until none of the three is one of these two. No check changes.

--- a/test/platform_node/addresses.py
+++ b/test/platform_node/addresses.py
@@ -10,6 +10,15 @@
     return f"127.{1 + process // 256 % 254}.{process % 256}.{number}"
 
 
+def node_ports():
+    """Returns ports for callers, readiness and peers. The two that follow the last one, which nodes use for metrics and for
+    relayed connections, are none of them."""
+    while True:
+        ports = free_ports(3)
+        if not {ports[2] + 1, ports[2] + 2} & set(ports):
+            return ports
+
+
 def free_ports(count):
     """Returns distinct free ports of 127.0.0.1; other processes may take them before they are used."""
     probes = [socket.socket() for _ in range(count)]
--- a/test/platform_node/entry_node_case.py
+++ b/test/platform_node/entry_node_case.py
@@ -16,7 +16,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
 import standin  # noqa: E402
-from addresses import free_ports, node_address  # noqa: E402
+from addresses import node_address, node_ports  # noqa: E402
 
 BINARY = pathlib.Path(os.environ["LAGOONSADDLE_BUILD"]) / "bin" / "lagoonsaddled"
 CONDITION_TIMEOUT_S = 60.0
@@ -135,7 +135,7 @@
         self.ids = map("{:016x}".format, itertools.count(1))
         self.store = self.STORE_TYPE()
         self.engines = [self.ENGINE_TYPE(self.store, f"i-{number}", "z") for number in range(self.ENGINE_COUNT)]
-        self.ports = free_ports(3)
+        self.ports = node_ports()
         self.nodes = []
 
     def tearDown(self):
